--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -82,6 +82,8 @@
 	MachineDelay time.Duration
 	// Retention is how long final jobs are kept in memory.
 	Retention time.Duration
+	// StopTimeout is how long a task may run on after an executor accepted its stop.
+	StopTimeout time.Duration
 }
 
 // Coordinator is the owner of the jobs while it leads.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -89,7 +89,7 @@
 	l := &lead{
 		opts: opts, term: term, ctx: ctx,
 		log:      opts.Log.WithField("epoch", term.Epoch),
-		core:     scheduler.New(scheduler.Options{Epoch: term.Epoch, Retention: opts.Retention}),
+		core:     scheduler.New(scheduler.Options{Epoch: term.Epoch, Retention: opts.Retention, StopTimeout: opts.StopTimeout}),
 		events:   make(chan any, eventBuffer),
 		calls:    make(chan func(*scheduler.Core)),
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), tokens: session.NewTokens(term.Epoch),
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,7 @@
 		Machines: platform.NewMachines(s.MachineAddress, func() bool { return n.manager.Valid() }), Holder: s.ID,
 		Now: elapsed.Now, WallMS: wallMS, Valid: func() bool { return n.manager.Valid() },
 		Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
-		MachineDelay: s.MachineLease, Retention: s.StatusKept,
+		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
 		options.Advice = advice
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -13,6 +13,8 @@
 	Epoch uint64
 	// Retention is how long final jobs stay known after they ended.
 	Retention time.Duration
+	// StopTimeout is how long a task may run on after its stop was ordered.
+	StopTimeout time.Duration
 }
 
 // settling is what may still run on an executor that has not reported to this owner.
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -179,6 +179,41 @@
 	assert.Equal(t, len(b.stops), 1)
 }
 
+// Guards against stopping a second task of a step just after a takeover, while a stop that the former owner has ordered
+// still takes its time: the executor lists that task as running at full speed until it is gone.
+func TestAdoptedTasksCountAsAwayWhileAFormerStopMayTakeEffect(t *testing.T) {
+	const stopTimeout = 900 * time.Millisecond
+	b := newBench(t, 3)
+	b.core.opts.StopTimeout = stopTimeout
+	step := workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}, LongRunning: true, MaxUnavailable: 1, MaxPerExecutor: 1}
+	job := &workload.Job{ID: "j", Route: "queue", Service: service, ConfigVersion: 1, Steps: []workload.Step{step}}
+	stopped, kept := taskOf("j", 0, 0), taskOf("j", 0, 1)
+	b.running["x0"][stopped] = workload.RunningTask{Task: stopped, Run: 1, Percent: 100}
+	b.running["x1"][kept] = workload.RunningTask{Task: kept, Run: 1, Percent: 100}
+	for id := range b.running {
+		b.core.Settle(b.now, id, service, nil)
+	}
+	assert.NilError(t, b.core.AddJob(b.now, job, nil, 0, true))
+	for id := range b.running {
+		b.report(id)
+	}
+	b.core.Cordon(b.now, "x1", true)
+	b.pass(stopTimeout / 2)
+	b.report("x0")
+	b.report("x1")
+	b.pass(0)
+	assert.Equal(t, len(b.stops), 0, "the task on x0 may be about to end")
+	b.end(stopped, workload.EndStopped)
+	b.pass(stopTimeout)
+	b.report("x1")
+	b.pass(0)
+	assert.Equal(t, len(b.stops), 0, "the task of x0 starts elsewhere")
+	b.serve()
+	b.pass(0)
+	assert.Equal(t, len(b.stops), 1, "both are at work again")
+	assert.Equal(t, b.stops[0].Task, kept)
+}
+
 // Guards against a step that starts before the steps that it waits for are done.
 func TestStepsWaitForEarlierSteps(t *testing.T) {
 	b := newBench(t, 2)
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -111,7 +111,7 @@
 	for t := range e.tasks {
 		fills = fills || t.step.spec.Fills
 		serves = serves || t.step.spec.TailTarget > 0
-		if t.step.spec.LongRunning && t.percent < 100 {
+		if t.step.spec.LongRunning && (t.percent < 100 || t.doubtUntil != 0) {
 			wait = min(wait, startPoll)
 		}
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -264,7 +264,7 @@
 }
 
 func (c *Core) start(t *task, e *executor, run int) {
-	t.run, t.state, t.percent, t.pace = run, taskStarting, 0, 100
+	t.run, t.state, t.percent, t.pace, t.doubtUntil = run, taskStarting, 0, 100, 0
 	t.confirmedAt = never
 	e.attach(t)
 	t.job.started = true
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -19,7 +19,7 @@
 	present := make(map[workload.TaskID]int, len(r.Running))
 	for _, x := range r.Running {
 		present[x.Task] = x.Run
-		c.reportRunning(now, e, x)
+		c.reportRunning(now, e, x, sentAt)
 	}
 	for _, x := range r.Ended {
 		c.reportEnded(now, e, x)
@@ -58,7 +58,7 @@
 	return t.confirmedAt < sentAt
 }
 
-func (c *Core) reportRunning(now time.Duration, e *executor, x workload.RunningTask) {
+func (c *Core) reportRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration) {
 	t := c.task(x.Task)
 	switch {
 	case t == nil:
@@ -74,6 +74,9 @@
 		if x.Checkpoint != "" {
 			t.checkpoint = x.Checkpoint
 		}
+		if sentAt >= t.doubtUntil {
+			t.doubtUntil = 0
+		}
 		t.measure(x)
 		if (t.state == taskStopping || t.state == taskDone) && t.confirmedAt != never && now-t.confirmedAt > stopRepeat {
 			t.confirmedAt = never
@@ -93,11 +96,12 @@
 	}
 }
 
-// adopt takes over a run that an earlier owner started.
+// adopt takes over a run that an earlier owner started. The executor rejects stops of that owner from now on, but may be
+// carrying one out.
 func (c *Core) adopt(now time.Duration, e *executor, t *task, x workload.RunningTask) {
 	t.run, t.state = x.Run, taskRunning
 	t.startedAt, t.progressAt, t.confirmedAt = now, now, now
-	t.percent = x.Percent
+	t.percent, t.doubtUntil = x.Percent, now+c.opts.StopTimeout
 	if x.Checkpoint != "" {
 		t.checkpoint = x.Checkpoint
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -41,6 +41,9 @@
 	// progressAt is when percent last changed.
 	progressAt time.Duration
 	startedAt  time.Duration
+	// doubtUntil is when a stop that a former owner ordered has taken effect at the latest. Until a report that was asked
+	// for later shows the run, it may be about to end.
+	doubtUntil time.Duration
 	// confirmedAt is when the executor answered the last order; only a report that was asked for later can deny it.
 	confirmedAt time.Duration
 	notBefore   time.Duration
@@ -57,7 +60,9 @@
 func (t *task) placed() bool { return t.exec != nil }
 
 // atWork reports whether a long-running task is known to serve its users.
-func (t *task) atWork() bool { return t.state == taskRunning && t.percent >= 100 && t.exec.contact }
+func (t *task) atWork() bool {
+	return t.state == taskRunning && t.percent >= 100 && t.exec.contact && t.doubtUntil == 0
+}
 
 type step struct {
 	spec  *workload.Step
--- a/settings/node.go
+++ b/settings/node.go
@@ -24,6 +24,8 @@
 	MachineLease time.Duration
 	// StatusKept is how long the state of a final job can be asked for.
 	StatusKept time.Duration
+	// StopTimeout is how long an executor takes at most to end a task.
+	StopTimeout time.Duration
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
 	// LameDuck is how long the process answers requests after its readiness went off.
@@ -57,6 +59,7 @@
 		AdviceAddress:  l.Optional("platform", "advice"),
 		MachineLease:   l.Duration("bounds", "machine_lease", 3*time.Second, 0, time.Minute),
 		StatusKept:     l.Duration("bounds", "status_kept", 2*time.Minute, time.Second, 24*time.Hour),
+		StopTimeout:    l.Duration("bounds", "stop_timeout", 200*time.Millisecond, 0, time.Minute),
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
 		Telemetry:      ReadTelemetry(l),
