--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -27,6 +27,8 @@
 	eventBuffer = 1024
 	// maxDrain bounds the events handled before the next scheduling pass.
 	maxDrain = 256
+	// passGap bounds the rate of scheduling passes: in a burst, each looks at all waiting jobs, and ends come one by one.
+	passGap = 5 * time.Millisecond
 	// loadRetry spaces attempts to load the state.
 	loadRetry = 100 * time.Millisecond
 )
@@ -51,6 +53,9 @@
 	roster   map[string]rosterEntry
 	// committing is set while a commit is in progress.
 	committing bool
+	// passAt is when the next scheduling pass may start, pass the timer that wakes the control goroutine for it.
+	passAt time.Duration
+	pass   *time.Timer
 	// commitAt is when the next commit may start; it gathers ends into fewer writes.
 	commitAt time.Duration
 	// purging is set while rows of final jobs are removed, purgeAt is when more may be.
@@ -244,6 +249,8 @@
 func (l *lead) run() error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	l.pass = time.NewTimer(passGap)
+	defer l.pass.Stop()
 	for {
 		l.advance()
 		select {
@@ -255,6 +262,7 @@
 			if err := l.handleAll(e); err != nil {
 				return err
 			}
+		case <-l.pass.C:
 		case <-tick.C:
 			now := l.opts.Now()
 			l.core.Tick(now, l.opts.WallMS())
@@ -342,9 +350,7 @@
 // advance schedules, carries the commands out and starts a commit if there is something to store.
 func (l *lead) advance() {
 	now := l.opts.Now()
-	if l.opts.Valid() {
-		l.core.Schedule(now)
-	}
+	l.schedule(now)
 	for _, command := range l.core.Commands() {
 		l.carryOut(now, command)
 	}
@@ -354,6 +360,19 @@
 	l.startCommit(now)
 }
 
+// schedule places tasks, or sets the timer for the pass that will.
+func (l *lead) schedule(now time.Duration) {
+	switch {
+	case !l.core.Changed() || !l.opts.Valid():
+	case now < l.passAt:
+		l.pass.Reset(l.passAt - now)
+	default:
+		l.core.Schedule(now)
+		l.opts.Metrics.passes.Inc()
+		l.passAt = now + passGap
+	}
+}
+
 func (l *lead) carryOut(now time.Duration, command scheduler.Command) {
 	switch x := command.(type) {
 	case scheduler.StartTask:
--- /dev/null
+++ b/coordinator/lead_test.go
@@ -0,0 +1,42 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/ownership"
+	"github.com/tamarackworks/tamarackworks/workload"
+)
+
+// Guards against an owner that spends its processor time on scheduling passes in a burst: ends come one by one, and a pass
+// for each of them looks at all waiting jobs. The pass that is put off must follow.
+func TestPassesAreSpacedInABurst(t *testing.T) {
+	now := time.Second
+	l := newLead(t.Context(), Options{
+		Now: func() time.Duration { return now }, WallMS: func() int64 { return 0 }, Valid: func() bool { return true },
+		Log: &log.Logger{Handler: discard.Default}, Metrics: NewMetrics(prometheus.NewRegistry()),
+	}, ownership.Term{Epoch: 1})
+	l.pass = time.NewTimer(time.Hour)
+	l.core.Configure(now, &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "pool"}}})
+	const arrivals, gap = 1000, 100 * time.Microsecond
+	for i := range arrivals {
+		job := &workload.Job{ID: fmt.Sprintf("j%d", i), Service: "pool", Steps: []workload.Step{{Count: 1}}}
+		assert.NilError(t, l.core.AddJob(now, job, nil, 0, false))
+		l.core.PutExecutor(now, workload.Executor{ID: "x", Service: "pool"})
+		l.advance()
+		now += gap
+	}
+	passes := testutil.ToFloat64(l.opts.Metrics.passes)
+	assert.Assert(t, passes <= float64(arrivals*gap/passGap), "%v passes", passes)
+	assert.Assert(t, l.core.Changed())
+	now += passGap
+	l.advance()
+	assert.Assert(t, !l.core.Changed(), "the last arrival was never looked at")
+}
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -19,6 +19,7 @@
 	commitRetries prometheus.Counter
 	reports       prometheus.Counter
 	eventsWaiting prometheus.Gauge
+	passes        prometheus.Counter
 	backlog       prometheus.Gauge
 	lag           prometheus.Gauge
 }
@@ -52,6 +53,9 @@
 		eventsWaiting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tamarack_events_waiting", Help: "Events that wait for the control goroutine.",
 		}),
+		passes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tamarack_scheduling_passes_total", Help: "Scheduling passes over the waiting jobs.",
+		}),
 		backlog: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tamarack_backlog_core_seconds", Help: "Estimated work of ready tasks that wait for room.",
 		}),
@@ -59,7 +63,7 @@
 			Name: "tamarack_owner_lag_seconds", Help: "How late timers of the owner fire, with decay.",
 		}),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.backlog, m.lag)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.lag)
 	return m
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"sort"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -148,7 +147,7 @@
 	o := &occurrence{number: k, job: j}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
-		s := &step{spec: spec, occ: o, index: i, remaining: spec.Count, perExecutor: make(map[*executor]int)}
+		s := &step{spec: spec, occ: o, index: i, remaining: spec.Count, pending: spec.Count, perExecutor: make(map[*executor]int)}
 		for n := 0; n < spec.Count; n++ {
 			id := workload.TaskID{Job: j.spec.ID, Occurrence: k, Step: i, Index: n}
 			s.tasks = append(s.tasks, &task{id: id, job: j, step: s, pace: 100})
@@ -200,7 +199,7 @@
 	if t.exec == nil || t.state == taskStopping {
 		return
 	}
-	t.state = taskStopping
+	t.setState(taskStopping)
 	t.confirmedAt = never
 	c.commands = append(c.commands, StopTask{Executor: t.exec.info.ID, Task: t.id, Run: t.run})
 	c.decision(t.id.String(), "task stops", map[string]any{"executor": t.exec.info.ID, "run": t.run, "reason": reason})
@@ -355,15 +354,3 @@
 		c.dirtySvc[j.service] = true
 	}
 }
-
-// sortedJobs returns the active jobs of a service in the order in which they get room.
-func (c *Core) sortedJobs(now time.Duration, service string) []*job {
-	jobs := make([]*job, 0, len(c.active[service]))
-	rank := make(map[*job]jobRank, len(c.active[service]))
-	for j := range c.active[service] {
-		jobs = append(jobs, j)
-		rank[j] = rankOf(now, j)
-	}
-	sort.Slice(jobs, func(a, b int) bool { return rank[jobs[a]].before(rank[jobs[b]]) })
-	return jobs
-}
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/tamarackworks/tamarackworks/workload"
 )
@@ -214,6 +215,34 @@
 	assert.Equal(t, b.stops[0].Task, kept)
 }
 
+// Guards against a small task that waits although it fits, because a larger one before it does not.
+func TestSmallTasksStartBesideLargeOnesThatWait(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit("running", plain(1, 3000))
+	b.submit("large", plain(1, 2000))
+	b.submit("long", plain(1, 900), plain(4, 4000, 0))
+	assert.Equal(t, len(b.starts), 2)
+	assert.Equal(t, b.starts[1].Task, taskOf("long", 0, 0))
+}
+
+// Guards against waiting jobs that get room in another order than that of their ranks, whatever the length of the queue.
+func TestWaitingJobsComeInTheOrderOfTheirRanks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t, 0)
+		jobs := rapid.SliceOfN(rapid.IntRange(1, 20), 1, 60).Draw(t, "tasks")
+		for i, tasks := range jobs {
+			b.submit(fmt.Sprintf("j%d", i), plain(tasks, 100*(1+tasks%7)))
+		}
+		queue := b.core.waitingJobs(b.now, service, true)
+		assert.Equal(t, len(queue.jobs), len(jobs))
+		for last := queue.next(); len(queue.jobs) > 0; {
+			next := queue.next()
+			assert.Assert(t, last.before(next.jobRank))
+			last = next
+		}
+	})
+}
+
 // Guards against a step that starts before the steps that it waits for are done.
 func TestStepsWaitForEarlierSteps(t *testing.T) {
 	b := newBench(t, 2)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -92,7 +92,8 @@
 	if t.state == taskDone {
 		return
 	}
-	t.state, t.percent, t.pace = taskPending, 0, 100
+	t.setState(taskPending)
+	t.percent, t.pace = 0, 100
 	t.requeues++
 	if t.step.spec.LongRunning {
 		t.notBefore = now + min(restartPause*time.Duration(t.requeues), maxRestartPause)
@@ -110,7 +111,8 @@
 	switch outcome {
 	case StartAccepted, StartUnclear:
 		if t.state == taskStarting {
-			t.state, t.startedAt, t.progressAt = taskRunning, now, now
+			t.setState(taskRunning)
+			t.startedAt, t.progressAt = now, now
 		}
 		if t.state == taskRunning {
 			t.confirmedAt = now
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -134,7 +134,8 @@
 	e.contact, e.silentSince = false, now
 	for t := range e.tasks {
 		if t.state == taskStarting {
-			t.state, t.startedAt, t.progressAt, t.confirmedAt = taskRunning, now, now, now
+			t.setState(taskRunning)
+			t.startedAt, t.progressAt, t.confirmedAt = now, now, now
 		}
 	}
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -40,6 +41,69 @@
 	return r.id < o.id
 }
 
+// waitingJob is a job with tasks that wait for room, and its rank.
+type waitingJob struct {
+	*job
+	jobRank
+}
+
+// jobQueue yields jobs in the order of their ranks. A heap yields the few that get room without sorting the rest.
+type jobQueue struct {
+	jobs []waitingJob
+	// least is at most what any of their waiting tasks needs.
+	least workload.Resources
+}
+
+func (q *jobQueue) Len() int           { return len(q.jobs) }
+func (q *jobQueue) Less(a, b int) bool { return q.jobs[a].before(q.jobs[b].jobRank) }
+func (q *jobQueue) Swap(a, b int)      { q.jobs[a], q.jobs[b] = q.jobs[b], q.jobs[a] }
+
+// Push implements heap.Interface; the queue only shrinks.
+func (q *jobQueue) Push(any) {}
+
+// Pop implements heap.Interface.
+func (q *jobQueue) Pop() any {
+	q.jobs = q.jobs[:len(q.jobs)-1]
+	return nil
+}
+
+// next removes and returns the first job.
+func (q *jobQueue) next() waitingJob {
+	first := q.jobs[0]
+	heap.Pop(q)
+	return first
+}
+
+// waitingJobs returns the jobs of a service with ready tasks that run nowhere. Inherited jobs are left out until it is
+// settled what runs.
+func (c *Core) waitingJobs(now time.Duration, service string, settled bool) *jobQueue {
+	q := &jobQueue{}
+	for j := range c.active[service] {
+		if j.inherited && !settled {
+			continue
+		}
+		waits := false
+		for _, o := range j.occs {
+			for _, s := range o.steps {
+				if !s.waits() {
+					continue
+				}
+				size := s.spec.Reserved()
+				if len(q.jobs) == 0 && !waits {
+					q.least = size
+				}
+				q.least = q.least.Min(size)
+				waits = true
+			}
+		}
+		if waits {
+			q.jobs = append(q.jobs, waitingJob{j, rankOf(now, j)})
+		}
+	}
+	heap.Init(q)
+	return q
+}
+
 func rankOf(now time.Duration, j *job) jobRank {
 	r := jobRank{class: classOnTime, priority: j.policy.Priority, id: j.spec.ID}
 	var longest time.Duration
@@ -64,7 +128,11 @@
 // chainLeft returns the longest chain of estimates of the steps that are not done.
 func chainLeft(o *occurrence) time.Duration {
 	var longest time.Duration
-	chain := make([]time.Duration, len(o.steps))
+	var few [8]time.Duration
+	chain := few[:]
+	if len(o.steps) > len(chain) {
+		chain = make([]time.Duration, len(o.steps))
+	}
 	for i, s := range o.steps {
 		if s.remaining == 0 {
 			continue
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -7,6 +7,9 @@
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
+// Changed reports whether there is something for Schedule to look at.
+func (c *Core) Changed() bool { return len(c.dirtySvc) > 0 }
+
 // Schedule places pending tasks of all services whose jobs or executors changed.
 func (c *Core) Schedule(now time.Duration) {
 	for service := range c.dirtySvc {
@@ -26,13 +29,14 @@
 	}
 	settled := c.serviceSettled(service)
 	p := &placement{core: c, now: now, open: open}
-	for _, j := range c.sortedJobs(now, service) {
-		if j.inherited && !settled {
-			continue
+	for queue := c.waitingJobs(now, service, settled); len(queue.jobs) > 0; {
+		j := queue.next()
+		if j.class != classLongRunning && p.isFull(queue.least) {
+			return
 		}
 		for _, o := range j.occs {
 			for _, s := range o.steps {
-				if s.remaining > 0 && s.ready() {
+				if s.waits() {
 					p.place(s)
 				}
 			}
@@ -40,6 +44,16 @@
 	}
 }
 
+// isFull reports whether no executor has room for a size.
+func (p *placement) isFull(least workload.Resources) bool {
+	for _, e := range p.open {
+		if e.free().Fits(least) {
+			return false
+		}
+	}
+	return true
+}
+
 // serviceSettled reports whether no executor can run any task of the service for an earlier owner.
 func (c *Core) serviceSettled(service string) bool {
 	for _, s := range c.settling {
@@ -264,7 +278,8 @@
 }
 
 func (c *Core) start(t *task, e *executor, run int) {
-	t.run, t.state, t.percent, t.pace, t.doubtUntil = run, taskStarting, 0, 100, 0
+	t.setState(taskStarting)
+	t.run, t.percent, t.pace, t.doubtUntil = run, 0, 100, 0
 	t.confirmedAt = never
 	e.attach(t)
 	t.job.started = true
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -148,7 +148,7 @@
 		}
 		for n, t := range o.steps[i].tasks {
 			if n/8 < len(bits) && bits[n/8]&(1<<(n%8)) != 0 {
-				t.state = taskDone
+				t.setState(taskDone)
 				o.steps[i].remaining--
 				o.remaining--
 				o.job.started = true
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -65,8 +65,8 @@
 		c.stopStray(now, e, x.Task, x.Run, "no job asks for it")
 	case t.exec == e && t.run == x.Run:
 		if t.state == taskStarting {
-			t.state, t.startedAt, t.progressAt = taskRunning, now, now
-			t.confirmedAt = now
+			t.setState(taskRunning)
+			t.startedAt, t.progressAt, t.confirmedAt = now, now, now
 		}
 		if x.Percent != t.percent {
 			t.percent, t.progressAt = x.Percent, now
@@ -99,7 +99,8 @@
 // adopt takes over a run that an earlier owner started. The executor rejects stops of that owner from now on, but may be
 // carrying one out.
 func (c *Core) adopt(now time.Duration, e *executor, t *task, x workload.RunningTask) {
-	t.run, t.state = x.Run, taskRunning
+	t.setState(taskRunning)
+	t.run = x.Run
 	t.startedAt, t.progressAt, t.confirmedAt = now, now, now
 	t.percent, t.doubtUntil = x.Percent, now+c.opts.StopTimeout
 	if x.Checkpoint != "" {
@@ -176,7 +177,7 @@
 			e.detach(m, now)
 			c.dirtySvc[e.info.Service] = true
 		}
-		m.state = taskDone
+		m.setState(taskDone)
 		m.step.remaining--
 		m.step.occ.remaining--
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -56,6 +56,17 @@
 	requeues int
 }
 
+// setState changes the state and keeps the count of pending tasks of the step.
+func (t *task) setState(s taskState) {
+	if t.state == taskPending {
+		t.step.pending--
+	}
+	if s == taskPending {
+		t.step.pending++
+	}
+	t.state = s
+}
+
 // placed reports whether the task takes room on an executor.
 func (t *task) placed() bool { return t.exec != nil }
 
@@ -69,8 +80,9 @@
 	occ   *occurrence
 	index int
 	tasks []*task
-	// remaining counts the tasks that are not done.
+	// remaining counts the tasks that are not done, pending those that run nowhere.
 	remaining int
+	pending   int
 	// perExecutor counts the tasks on each executor, for the spread limit.
 	perExecutor map[*executor]int
 	permits     *permits
@@ -97,6 +109,9 @@
 	return n
 }
 
+// waits reports whether tasks of the step are to start.
+func (s *step) waits() bool { return s.pending > 0 && s.ready() }
+
 type occurrence struct {
 	number    int
 	job       *job
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -31,6 +31,11 @@
 	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.GPUs - o.GPUs}
 }
 
+// Min returns the smaller one of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPUMilli, o.CPUMilli), min(r.MemoryMB, o.MemoryMB), min(r.GPUs, o.GPUs)}
+}
+
 // Fits reports whether r has room for o.
 func (r Resources) Fits(o Resources) bool {
 	return o.CPUMilli <= r.CPUMilli && o.MemoryMB <= r.MemoryMB && o.GPUs <= r.GPUs
