--- a/feed/feed.go
+++ b/feed/feed.go
@@ -129,7 +129,7 @@
 }
 
 // maxReads bounds the parts that are read at the same time.
-const maxReads = 16
+const maxReads = 64
 
 func readPart(ctx context.Context, store Store, table, part string) ([]rowstore.Row, uint64, error) {
 	var rows []rowstore.Row
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -29,8 +29,8 @@
 )
 
 // submitParts is the number of parts of the jobs. One part applies one transaction after another, which takes 0.25 s
-// when the store is slow; some 60 submissions a second have to fit into their parts then.
-const submitParts = 16
+// when the store is slow; a burst of some 150 submissions a second has to fit into their parts then.
+const submitParts = 64
 
 // SubmitPart returns the part of a job in JobTable and CancelTable.
 func SubmitPart(id string) string {
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -196,3 +196,25 @@
 		assert.Assert(t, slices.Contains(SubmitParts(), SpareSubmitPart(id)))
 	}
 }
+
+// Guards against callers who are turned away while the store is slow: one part applies one transaction after another, so a
+// burst on few parts waits longer than callers do.
+func TestBurstIsAcceptedByASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		// A burst of a deployment of 540 executors, at a store that takes 25 times as long as usual.
+		const jobs, every, transaction = 600, 7 * time.Millisecond, 250 * time.Millisecond
+		x := newFixture(t)
+		x.store.SetSlow(transaction)
+		answers := make(chan Answer, jobs)
+		for i := range jobs {
+			go func() {
+				time.Sleep(time.Duration(i) * every)
+				answer, _ := x.submit(t, fmt.Sprint(i))
+				answers <- answer
+			}()
+		}
+		for range jobs {
+			assert.Equal(t, (<-answers).Outcome, OK)
+		}
+	})
+}
