--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -74,10 +74,13 @@
 	Holder string
 	Now    func() time.Duration
 	WallMS func() int64
-	// Valid reports whether this process owns the jobs now.
-	Valid   func() bool
-	Log     log.Interface
-	Metrics *Metrics
+	// Valid reports whether this process owns the jobs now, ValidUntil up to when it does for sure.
+	Valid      func() bool
+	ValidUntil func() time.Duration
+	// MayContinue reports whether it may go on with the executors that it is in contact with.
+	MayContinue func() bool
+	Log         log.Interface
+	Metrics     *Metrics
 	// MachineDelay is how long a new owner waits before it orders a machine that its predecessor ordered last.
 	MachineDelay time.Duration
 	// Retention is how long final jobs are kept in memory.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -77,6 +77,8 @@
 	// Lost is set while the owner has no contact; Tasks are all that the executor may run then.
 	Lost  bool              `json:"l,omitempty"`
 	Tasks []workload.TaskID `json:"t,omitempty"`
+	// inherited is set if a former owner stored the entry.
+	inherited bool
 }
 
 // rosterTable holds a row for each executor that may run tasks for an owner.
@@ -156,6 +158,7 @@
 		if err := json.Unmarshal(r.Value, &entry); err != nil {
 			return errors.Wrap(err, r.Name)
 		}
+		entry.inherited = true
 		l.roster[r.Name] = entry
 		l.rows.loaded(r)
 	}
@@ -233,7 +236,7 @@
 			l.core.Suspend(now, id, true)
 		}
 		l.core.Settle(now, id, entry.Service, tasks)
-		l.openSession(id, entry.Address)
+		l.openSession(id, entry)
 	}
 }
 
@@ -363,11 +366,11 @@
 // schedule places tasks, or sets the timer for the pass that will.
 func (l *lead) schedule(now time.Duration) {
 	switch {
-	case !l.core.Changed() || !l.opts.Valid():
+	case !l.core.Changed() || !l.opts.MayContinue():
 	case now < l.passAt:
 		l.pass.Reset(l.passAt - now)
 	default:
-		l.core.Schedule(now)
+		l.core.Schedule(now, l.opts.ValidUntil())
 		l.opts.Metrics.passes.Inc()
 		l.passAt = now + passGap
 	}
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -21,6 +21,7 @@
 	now := time.Second
 	l := newLead(t.Context(), Options{
 		Now: func() time.Duration { return now }, WallMS: func() int64 { return 0 }, Valid: func() bool { return true },
+		ValidUntil: func() time.Duration { return now }, MayContinue: func() bool { return true },
 		Log: &log.Logger{Handler: discard.Default}, Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, ownership.Term{Epoch: 1})
 	l.pass = time.NewTimer(time.Hour)
--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -214,6 +214,11 @@
 			m.listedAt = now
 			return
 		}
+		if !l.opts.Valid() {
+			// A new owner may have seen runs end on machines that it has ordered since.
+			m.listedAt = now
+			return
+		}
 		m.list, m.listedAt = e.list, e.sentAt
 		for i := range m.list {
 			if at, ok := m.orderedAt[m.list[i].ID]; ok && e.sentAt < at {
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -102,11 +102,11 @@
 // enlist puts an executor into the durable roster; its session starts when the roster is stored, so that a later
 // owner knows of every executor that may run tasks.
 func (l *lead) enlist(e workload.Executor) {
-	entry := rosterEntry{Address: e.Address, Service: e.Service}
-	if old, ok := l.roster[e.ID]; ok && old.Address == e.Address {
+	old, ok := l.roster[e.ID]
+	if ok && old.Address == e.Address {
 		return
 	}
-	l.roster[e.ID] = entry
+	l.roster[e.ID] = rosterEntry{Address: e.Address, Service: e.Service, inherited: old.inherited}
 	l.storeRoster(e.ID)
 }
 
@@ -154,13 +154,14 @@
 	if !ok || current.Address != stored.Address {
 		return
 	}
-	l.openSession(id, stored.Address)
+	l.openSession(id, current)
 	if !stored.Lost && !current.Lost {
 		l.core.Suspend(l.opts.Now(), id, false)
 	}
 }
 
-func (l *lead) openSession(id, address string) {
+func (l *lead) openSession(id string, entry rosterEntry) {
+	address := entry.Address
 	if l.sessions[id] != nil {
 		if l.peers[id].Address == address {
 			return
@@ -173,13 +174,21 @@
 	l.peers[id] = session.Peer{ID: id, Address: address}
 	l.sessions[id] = session.New(l.ctx, l.peers[id], session.Options{
 		Client: l.opts.Workers, Tokens: l.tokens, Lease: session.DefaultLease,
-		// A former owner that was replaced while it ran may have given leases until its validity ended.
-		Inherited: session.DefaultLease + ownership.Validity, Now: l.opts.Now, Losses: l.losses, Lag: l.lag.Value,
-		MayOrder: l.opts.Valid, MayHold: l.opts.Valid,
+		Inherited: entry.inheritedLeases(), Now: l.opts.Now, Losses: l.losses, Lag: l.lag.Value,
+		Owns: l.opts.Valid, MayContinue: l.opts.MayContinue,
 		Emit: func(e session.Event) { l.emit(e) },
 	})
 }
 
+// inheritedLeases is how long leases may last that a former owner has given. One that was replaced while it ran goes on
+// where it is in contact; contact that is lost is not regained without a confirmed ownership.
+func (e rosterEntry) inheritedLeases() time.Duration {
+	if e.Lost || !e.inherited {
+		return session.DefaultLease + ownership.Validity
+	}
+	return session.DefaultLease + ownership.Continuation
+}
+
 // tidyExecutors drops executors that are gone and run nothing.
 func (l *lead) tidyExecutors() {
 	for id := range l.roster {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -138,8 +138,10 @@
 }
 
 type host struct {
-	name    string
-	dead    atomic.Bool
+	name string
+	dead atomic.Bool
+	// cut holds the ids of executors that the host does not reach.
+	cut     sync.Map
 	handle  *rows.Handle
 	manager *ownership.Manager
 	owner   *Coordinator
@@ -147,24 +149,61 @@
 	done    chan struct{}
 }
 
-// hostClient cuts a dead host off from the executors.
+// hostClient cuts a dead host off from the executors, and a live one from some of them.
 type hostClient struct {
 	*workers.Fleet
 	host *host
 }
 
+// reaches waits for an answer that does not come, or returns true.
+func (c hostClient) reaches(ctx context.Context, id string) bool {
+	if _, cut := c.host.cut.Load(id); cut {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
+func (c hostClient) Stop(ctx context.Context, to session.Peer, task workload.TaskID, run int, fence uint64) (session.Answer, error) {
+	if c.host.dead.Load() {
+		return session.Answer{}, session.ErrNotSent
+	}
+	if !c.reaches(ctx, to.ID) {
+		return session.Answer{}, session.ErrNoAnswer
+	}
+	answer, err := c.Fleet.Stop(ctx, to, task, run, fence)
+	if !c.reaches(ctx, to.ID) {
+		return session.Answer{}, session.ErrNoAnswer
+	}
+	return answer, err
+}
+
 func (c hostClient) Start(ctx context.Context, to session.Peer, o session.StartOrder) (session.Answer, error) {
 	if c.host.dead.Load() {
 		return session.Answer{}, session.ErrNotSent
 	}
-	return c.Fleet.Start(ctx, to, o)
+	if !c.reaches(ctx, to.ID) {
+		return session.Answer{}, session.ErrNoAnswer
+	}
+	answer, err := c.Fleet.Start(ctx, to, o)
+	if !c.reaches(ctx, to.ID) {
+		return session.Answer{}, session.ErrNoAnswer
+	}
+	return answer, err
 }
 
 func (c hostClient) Hold(ctx context.Context, to session.Peer, o session.HoldOrder) (workload.Report, session.Result, error) {
 	if c.host.dead.Load() {
 		return workload.Report{}, "", session.ErrNotSent
 	}
-	return c.Fleet.Hold(ctx, to, o)
+	if !c.reaches(ctx, to.ID) {
+		return workload.Report{}, "", session.ErrNoAnswer
+	}
+	report, result, err := c.Fleet.Hold(ctx, to, o)
+	if !c.reaches(ctx, to.ID) {
+		return workload.Report{}, "", session.ErrNoAnswer
+	}
+	return report, result, err
 }
 
 var capacity = workload.Resources{CPUMilli: 4000, MemoryMB: 8000}
@@ -215,7 +254,8 @@
 	h.owner = New(Options{
 		Store: h.handle, Directory: testDirectory{}, Workers: hostClient{w.fleet, h}, Machines: w.machines,
 		Holder: name, Now: w.now, WallMS: func() int64 { return time.Now().UnixMilli() },
-		Valid: func() bool { return h.manager.Valid() }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
+		Valid: func() bool { return h.manager.Valid() }, ValidUntil: func() time.Duration { return h.manager.ValidUntil() },
+		MayContinue: func() bool { return h.manager.MayContinue() }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Retention: time.Minute,
 	})
 	h.manager = ownership.New(ownership.Options{
--- a/node/node.go
+++ b/node/node.go
@@ -99,7 +99,9 @@
 		Store: n.store, Directory: platform.Directory{}, Workers: platform.NewExecutors(),
 		Machines: platform.NewMachines(s.MachineAddress, func() bool { return n.manager.Valid() }), Holder: s.ID,
 		Now: elapsed.Now, WallMS: wallMS, Valid: func() bool { return n.manager.Valid() },
-		Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
+		ValidUntil:  func() time.Duration { return n.manager.ValidUntil() },
+		MayContinue: func() bool { return n.manager.MayContinue() },
+		Log:         t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -33,8 +33,12 @@
 	// validity is how long an owner acts after it sent its last successful renewal. Two renewals at a store that takes
 	// 0.8 s for each fit into it.
 	validity = 1800 * time.Millisecond
-	// Validity bounds how long a former owner may act after it was replaced.
+	// Validity bounds how long a former owner may write, and give orders to machines, after it was replaced.
 	Validity = validity
+	// Continuation is how long after its last successful renewal an owner goes on with the executors that it is in contact
+	// with. It outlives most outages of the store; a new owner waits for it before it takes a silent executor's leases for
+	// lapsed.
+	Continuation = 8 * time.Second
 	// shortValidity and shortInterval take their place while the store answers at once, so that a lost owner is replaced
 	// sooner. A renewal that takes 0.7 s, or two lost answers, fit into it if it is sent again after shortHedge.
 	shortValidity = 1100 * time.Millisecond
@@ -155,7 +159,9 @@
 	probed     bool
 	owns       bool
 	validUntil time.Duration
-	refused    bool
+	// confirmedAt is when the last successful renewal was sent.
+	confirmedAt time.Duration
+	refused     bool
 	// turnAt is when this process takes a lease that is free, 0 while it is not.
 	turnAt time.Duration
 	// latency is how long the store last took to answer.
@@ -175,6 +181,21 @@
 	return m.owns && m.opts.Now() < m.validUntil
 }
 
+// MayContinue reports whether this process may go on with the executors that it is in contact with. Another process may own
+// them by now; executors that it has reached reject orders of this one, and for the others it waits.
+func (m *Manager) MayContinue() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owns && m.opts.Now() < m.confirmedAt+Continuation
+}
+
+// ValidUntil returns up to when this process is the owner for sure.
+func (m *Manager) ValidUntil() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.validUntil
+}
+
 // OwnerAddress returns where the current owner answers, or "" if none is known.
 func (m *Manager) OwnerAddress() string {
 	m.mu.Lock()
@@ -215,7 +236,7 @@
 	}
 	m.mu.Lock()
 	m.lease, m.leaseVersion, m.fenceVersion = next, written, written
-	m.owns, m.validUntil, m.changedAt = true, sent+validity, m.opts.Now()
+	m.owns, m.validUntil, m.confirmedAt, m.changedAt = true, sent+validity, sent, m.opts.Now()
 	m.mu.Unlock()
 	m.opts.Log.WithFields(log.Fields{
 		"epoch": next.Epoch, "previous": previous.Holder, "released": previous.Released, "version": written,
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -122,7 +122,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lease, m.leaseVersion, m.changedAt = l, max(version, m.leaseVersion), m.opts.Now()
-	m.validUntil = sent + l.valid()
+	m.validUntil, m.confirmedAt = sent+l.valid(), sent
 	m.reachable = m.opts.Now()
 }
 
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -65,7 +65,7 @@
 // settle schedules and carries the commands out until there are none.
 func (b *bench) settle() {
 	for range 20 {
-		b.core.Schedule(b.now)
+		b.core.Schedule(b.now, b.now)
 		commands := b.core.Commands()
 		if len(commands) == 0 {
 			return
@@ -233,7 +233,7 @@
 		for i, tasks := range jobs {
 			b.submit(fmt.Sprintf("j%d", i), plain(tasks, 100*(1+tasks%7)))
 		}
-		queue := b.core.waitingJobs(b.now, service, true)
+		queue := b.core.waitingJobs(b.now, b.now, service, true)
 		assert.Equal(t, len(queue.jobs), len(jobs))
 		for last := queue.next(); len(queue.jobs) > 0; {
 			next := queue.next()
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -75,11 +75,11 @@
 }
 
 // waitingJobs returns the jobs of a service with ready tasks that run nowhere. Inherited jobs are left out until it is
-// settled what runs.
-func (c *Core) waitingJobs(now time.Duration, service string, settled bool) *jobQueue {
+// settled what runs, as are those that arrived after a time.
+func (c *Core) waitingJobs(now, arrivedBy time.Duration, service string, settled bool) *jobQueue {
 	q := &jobQueue{}
 	for j := range c.active[service] {
-		if j.inherited && !settled {
+		if j.arrived > arrivedBy || (j.inherited && !settled) {
 			continue
 		}
 		waits := false
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -10,15 +10,16 @@
 // Changed reports whether there is something for Schedule to look at.
 func (c *Core) Changed() bool { return len(c.dirtySvc) > 0 }
 
-// Schedule places pending tasks of all services whose jobs or executors changed.
-func (c *Core) Schedule(now time.Duration) {
+// Schedule places pending tasks of all services whose jobs or executors changed. Jobs that arrived after a time wait: if
+// another owner has taken over since, it starts them.
+func (c *Core) Schedule(now, arrivedBy time.Duration) {
 	for service := range c.dirtySvc {
 		delete(c.dirtySvc, service)
-		c.scheduleService(now, service)
+		c.scheduleService(now, arrivedBy, service)
 	}
 }
 
-func (c *Core) scheduleService(now time.Duration, service string) {
+func (c *Core) scheduleService(now, arrivedBy time.Duration, service string) {
 	c.unplaced[service] = 0
 	if len(c.active[service]) == 0 {
 		return
@@ -29,7 +30,7 @@
 	}
 	settled := c.serviceSettled(service)
 	p := &placement{core: c, now: now, open: open}
-	for queue := c.waitingJobs(now, service, settled); len(queue.jobs) > 0; {
+	for queue := c.waitingJobs(now, arrivedBy, service, settled); len(queue.jobs) > 0; {
 		j := queue.next()
 		if j.class != classLongRunning && p.isFull(queue.least) {
 			return
--- a/session/hold.go
+++ b/session/hold.go
@@ -11,7 +11,7 @@
 func (s *Session) run() {
 	defer close(s.done)
 	for s.ctx.Err() == nil {
-		if !s.opts.MayHold() {
+		if !s.mayGoOn() {
 			// Without reports for a while, the executor may be another incarnation by now.
 			s.lost("ownership is not confirmed")
 			elapsed.Sleep(s.ctx, holdRetry)
@@ -21,7 +21,7 @@
 			s.settle()
 			continue
 		}
-		if s.opts.Now() >= s.lapseAt() {
+		if s.lapsed() {
 			s.opts.Emit(Lapsed{Executor: s.peer.ID, At: s.opts.Now()})
 		}
 		elapsed.Sleep(s.ctx, holdRetry)
@@ -88,6 +88,9 @@
 	case result != Accepted:
 		s.lost(string(result))
 		return false
+	case s.restarted(report) && !s.opts.Owns():
+		s.lost("executor restarted while ownership is not confirmed")
+		return false
 	}
 	s.report(report, sent)
 	return true
@@ -116,6 +119,13 @@
 	}
 }
 
+// restarted reports whether another incarnation than the last one has sent a report.
+func (s *Session) restarted(r workload.Report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born != 0 && r.BornUnixMS != s.born
+}
+
 func (s *Session) report(r workload.Report, sent time.Duration) {
 	now := s.opts.Now()
 	s.mu.Lock()
--- a/session/orders.go
+++ b/session/orders.go
@@ -26,7 +26,7 @@
 // start repeats the same order until the executor answers or cannot carry it out any more. The same run is
 // started once, however often it is ordered.
 func (s *Session) start(o StartOrder) Result {
-	if !s.opts.MayOrder() {
+	if !s.mayGoOn() {
 		return NotSent
 	}
 	o.DeadlineMS = s.nextDeadline()
@@ -40,7 +40,7 @@
 	ambiguous := false
 	for tries := 1; ; tries++ {
 		answer, err := Answer{}, errNotOwner
-		if s.opts.MayOrder() {
+		if s.mayGoOn() {
 			answer, err = s.attempt(tries, func(ctx context.Context) (Answer, error) { return s.opts.Client.Start(ctx, s.peer, o) })
 		}
 		switch {
@@ -74,7 +74,7 @@
 		if ambiguous && s.token() != o.Fence {
 			return s.retract(o)
 		}
-		if s.ctx.Err() != nil || s.opts.Now() >= s.lapseAt() {
+		if s.ctx.Err() != nil || s.lapsed() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetry)
@@ -95,7 +95,7 @@
 func (s *Session) retract(o StartOrder) Result {
 	limit := s.opts.Now() + lateOrders
 	for s.ctx.Err() == nil && s.opts.Now() < limit {
-		if s.opts.MayOrder() {
+		if s.opts.Owns() {
 			fence := s.token()
 			answer, err := s.attempt(lostTries, func(ctx context.Context) (Answer, error) {
 				return s.opts.Client.Stop(ctx, s.peer, o.Task, o.Run, fence)
@@ -145,7 +145,7 @@
 // Pace sets the speed of a task once; the next report shows whether it needs another change.
 func (s *Session) Pace(task workload.TaskID, run, percent int) {
 	go func() {
-		if !s.opts.MayOrder() {
+		if !s.opts.Owns() {
 			return
 		}
 		_, err := s.attempt(lostTries, func(ctx context.Context) (Answer, error) {
@@ -160,7 +160,7 @@
 // repeat sends an order until it is answered or all leases have lapsed.
 func (s *Session) repeat(call func(_ context.Context, fence uint64) (Answer, error)) Result {
 	for tries := 1; ; tries++ {
-		if s.opts.MayOrder() {
+		if s.opts.Owns() {
 			fence := s.token()
 			answer, err := s.attempt(tries, func(ctx context.Context) (Answer, error) { return call(ctx, fence) })
 			if err == nil && (answer.Result != Fenced || s.superseded(answer, fence)) {
@@ -170,7 +170,7 @@
 				s.suspect(tries, err)
 			}
 		}
-		if s.ctx.Err() != nil || s.opts.Now() >= s.lapseAt() {
+		if s.ctx.Err() != nil || s.lapsed() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetry)
--- a/session/session.go
+++ b/session/session.go
@@ -56,10 +56,10 @@
 	Inherited time.Duration
 	// Now is elapsed time on a clock that counts suspension.
 	Now func() time.Duration
-	// MayOrder reports whether this process still owns the executors.
-	MayOrder func() bool
-	// MayHold reports whether this process may still extend leases.
-	MayHold func() bool
+	// Owns reports whether this process owns the executors for sure.
+	Owns func() bool
+	// MayContinue reports whether it may go on where it is in contact, although another process may own them by now.
+	MayContinue func() bool
 	// Losses is shared by the sessions of an owner.
 	Losses *LossMonitor
 	// Lag is how late this process runs; time-outs grow with it.
@@ -141,6 +141,18 @@
 	return time.Duration(float64(d) / (1 - clockSlowdown))
 }
 
+// mayGoOn reports whether the session may extend leases and start tasks. Without a confirmed ownership it may only go on
+// with the incarnation that it is in contact with: a new owner has fenced that one, or waits until its leases have lapsed.
+func (s *Session) mayGoOn() bool {
+	if s.opts.Owns() {
+		return true
+	}
+	s.mu.Lock()
+	contact := s.contact
+	s.mu.Unlock()
+	return contact && s.opts.MayContinue()
+}
+
 // patience returns how long to wait for an answer that takes up to a time, on a host that is late itself.
 func (s *Session) patience(d time.Duration) time.Duration { return d + lagTurns*s.opts.Lag() }
 
@@ -155,6 +167,10 @@
 	return max(s.inherited, s.clockAt+stretch(left)+lapseMargin)
 }
 
+// lapsed reports whether all leases have lapsed for sure. Without a confirmed ownership that is not known: a new owner may
+// have extended them, and may have seen the runs end.
+func (s *Session) lapsed() bool { return s.opts.Owns() && s.opts.Now() >= s.lapseAt() }
+
 // nextDeadline returns the deadline to send, or 0 while the executor's clock is unknown.
 func (s *Session) nextDeadline() int64 {
 	s.mu.Lock()
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -24,7 +24,9 @@
 	mu    sync.Mutex
 	seen  []session.Event
 	may   bool
-	lag   atomic.Int64
+	// continues is set while the session may go on where it is in contact although the ownership is not confirmed.
+	continues atomic.Bool
+	lag       atomic.Int64
 }
 
 func newContact(t *testing.T) *contact {
@@ -40,8 +42,9 @@
 	c.mu.Lock()
 	c.s = session.New(ctx, session.Peer{ID: "x"}, session.Options{
 		Client: c.fleet, Tokens: session.NewTokens(1), Lease: session.DefaultLease, Inherited: session.DefaultLease,
-		Now: func() time.Duration { return time.Since(began) }, MayOrder: allowed, MayHold: allowed,
-		Losses: session.NewLossMonitor(), Lag: func() time.Duration { return time.Duration(c.lag.Load()) },
+		Now: func() time.Duration { return time.Since(began) }, Owns: allowed,
+		MayContinue: func() bool { return allowed() || c.continues.Load() },
+		Losses:      session.NewLossMonitor(), Lag: func() time.Duration { return time.Duration(c.lag.Load()) },
 		Emit: func(e session.Event) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -89,6 +92,48 @@
 	return session.StartOrder{Task: workload.TaskID{Job: "j"}, Run: run}
 }
 
+// Guards against a former owner that starts tasks on an executor that forgot the new owner's token with a restart, or that
+// regains an executor whose leases the new owner takes for lapsed.
+func TestUnconfirmedOwnersOnlyGoOnWhereTheyAreInContact(t *testing.T) {
+	for name, interrupt := range map[string]func(*workers.Fleet){
+		"restart": func(f *workers.Fleet) {
+			f.Crash("x")
+			f.Add("x", workload.Resources{CPUMilli: 4000})
+		},
+		"cut": func(f *workers.Fleet) {
+			f.Cut("x", true)
+			time.Sleep(4 * time.Second)
+			f.Cut("x", false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newContact(t)
+				c.continues.Store(true)
+				c.mu.Lock()
+				c.may = false
+				c.mu.Unlock()
+				c.s.Start(order(1))
+				time.Sleep(time.Second)
+				assert.Equal(t, c.started()[0], session.Accepted)
+				interrupt(c.fleet)
+				time.Sleep(3 * time.Second)
+				reports := c.count(session.Reported{})
+				c.s.Start(order(2))
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, c.count(session.Reported{}), reports)
+				starts, _ := c.fleet.Counts()
+				assert.Equal(t, starts, 1)
+				c.mu.Lock()
+				c.may = true
+				c.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				assert.Assert(t, c.count(session.Reported{}) > reports)
+			})
+		})
+	}
+}
+
 // Guards against a start that counts as refused, or is tried elsewhere, because its answer was lost.
 func TestStartWithoutAnswerIsRepeatedThere(t *testing.T) {
 	for _, fault := range []workers.Fault{workers.Silence, workers.LoseAnswer, workers.Late} {
