--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -86,10 +86,13 @@
 
 func rosterKey(id string) rowstore.Key { return rowstore.Key{Table: rosterTable, Name: id} }
 
+// controlTable holds what the owner of the machines must not forget.
+const controlTable = "tamarack_control"
+
 // Rows of the owner beside the records of jobs.
 var (
-	progressKey = rowstore.Key{Table: ownership.Table, Name: "waves"}
-	ordersKey   = rowstore.Key{Table: ownership.Table, Name: "orders"}
+	progressKey = rowstore.Key{Table: controlTable, Name: "waves"}
+	ordersKey   = rowstore.Key{Table: controlTable, Name: "orders"}
 )
 
 func newLead(ctx context.Context, opts Options, term ownership.Term) *lead {
@@ -130,7 +133,7 @@
 func (l *lead) readOwnTables() (t ownTables, err error) {
 	group, ctx := errgroup.WithContext(l.ctx)
 	for table, rows := range map[string]*[]rowstore.Row{
-		frontend.RecordTable: &t.records, ownership.Table: &t.control,
+		frontend.RecordTable: &t.records, controlTable: &t.control,
 		l.opts.Directory.StatusTable(): &t.waves, rosterTable: &t.roster,
 	} {
 		group.Go(func() (err error) {
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -11,7 +11,9 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/ownership"
+	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -41,3 +43,11 @@
 	l.advance()
 	assert.Assert(t, !l.core.Changed(), "the last arrival was never looked at")
 }
+
+// Guards against rows of the owner that wake all hosts with each change: they follow the table of the lease.
+func TestRowsOfTheOwnerWakeNoFollowers(t *testing.T) {
+	for _, key := range []rowstore.Key{progressKey, ordersKey, rosterKey("x"), {Table: frontend.RecordTable, Name: "j"}} {
+		assert.Assert(t, key.Table != ownership.Table, key.Table)
+		assert.Equal(t, key.Part, ownership.FenceKey.Part, "one part, so that one transaction checks the fence")
+	}
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -15,8 +15,8 @@
 	"github.com/tamarackworks/tamarackworks/rowstore"
 )
 
-// Table holds the lease, the fence and other rows of the owner.
-const Table = "tamarack_control"
+// Table holds the lease and the fence, and nothing else: each change wakes all followers.
+const Table = "tamarack_owner"
 
 const leasePart = "lease"
 
