--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -134,7 +134,7 @@
 	}
 	for {
 		r, err := rowstore.Race(l.ctx, rowstore.RaceOptions{Every: commitHedge}, rowstore.Repeat(commitTries, attempt))
-		l.opts.Metrics.commitRetries.Add(float64(r.Tries - 1))
+		l.opts.Metrics.repeated(r.Tries)
 		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -14,19 +15,39 @@
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/ownership"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
+// newTestLead returns a term of an owner that never loses the ownership.
+func newTestLead(ctx context.Context, now func() time.Duration) *lead {
+	l := newLead(ctx, Options{
+		Now: now, WallMS: func() int64 { return 0 }, Valid: func() bool { return true },
+		ValidUntil: now, MayContinue: func() bool { return true },
+		Store: rows.New().Handle(),
+		Log:   &log.Logger{Handler: discard.Default}, Metrics: NewMetrics(prometheus.NewRegistry()),
+	}, ownership.Term{Epoch: 1})
+	l.pass = time.NewTimer(time.Hour)
+	return l
+}
+
+// Guards against a process that ends with a panic because the ownership is lost at the moment at which a transaction
+// begins: no attempt was made, and the counter of repetitions cannot decrease.
+func TestCommitOfAnEndedTermIsNoCrash(t *testing.T) {
+	for range 100 {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newTestLead(ctx, func() time.Duration { return time.Second })
+		cancel()
+		_, err := l.commit(rowstore.Txn{})
+		assert.ErrorIs(t, err, context.Canceled)
+	}
+}
+
 // Guards against an owner that spends its processor time on scheduling passes in a burst: ends come one by one, and a pass
 // for each of them looks at all waiting jobs. The pass that is put off must follow.
 func TestPassesAreSpacedInABurst(t *testing.T) {
 	now := time.Second
-	l := newLead(t.Context(), Options{
-		Now: func() time.Duration { return now }, WallMS: func() int64 { return 0 }, Valid: func() bool { return true },
-		ValidUntil: func() time.Duration { return now }, MayContinue: func() bool { return true },
-		Log: &log.Logger{Handler: discard.Default}, Metrics: NewMetrics(prometheus.NewRegistry()),
-	}, ownership.Term{Epoch: 1})
-	l.pass = time.NewTimer(time.Hour)
+	l := newTestLead(t.Context(), func() time.Duration { return now })
 	l.core.Configure(now, &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "pool"}}})
 	const arrivals, gap = 1000, 100 * time.Microsecond
 	for i := range arrivals {
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -79,6 +79,9 @@
 	}
 }
 
+// repeated counts the attempts of a transaction after the first. There may have been none: the ownership ended before.
+func (m *Metrics) repeated(tries int) { m.commitRetries.Add(float64(max(tries-1, 0))) }
+
 func (m *Metrics) committed(rows int, took time.Duration) {
 	m.commitRows.Add(float64(rows))
 	m.commitTime.Observe(took.Seconds())
