--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -65,6 +65,7 @@
 	machines machineState
 }
 
+// storedRecord is a record of a job; it is nil if it cannot be read.
 type storedRecord struct {
 	record  *scheduler.Record
 	version uint64
@@ -77,7 +78,7 @@
 	// Lost is set while the owner has no contact; Tasks are all that the executor may run then.
 	Lost  bool              `json:"l,omitempty"`
 	Tasks []workload.TaskID `json:"t,omitempty"`
-	// inherited is set if a former owner stored the entry.
+	// inherited is set if a former owner stored the entry. It has no address if it cannot be read.
 	inherited bool
 }
 
@@ -151,15 +152,14 @@
 	}
 	for _, r := range tables.records {
 		record, err := scheduler.DecodeRecord(r.Value)
-		if err != nil {
-			return errors.Wrap(err, r.Name)
-		}
+		l.noteDamage(r, err)
 		l.records[r.Name] = storedRecord{record, r.Version}
 	}
 	for _, r := range tables.roster {
 		var entry rosterEntry
 		if err := json.Unmarshal(r.Value, &entry); err != nil {
-			return errors.Wrap(err, r.Name)
+			l.noteDamage(r, err)
+			entry = rosterEntry{}
 		}
 		entry.inherited = true
 		l.roster[r.Name] = entry
@@ -169,20 +169,34 @@
 		l.rows.loaded(r)
 	}
 	for _, r := range tables.control {
-		switch r.Key {
-		case progressKey:
-			err = json.Unmarshal(r.Value, &l.machines.progress)
-		case ordersKey:
-			err = l.machines.inherit(r.Value, l.started, l.opts.WallMS(), l.opts.MachineDelay)
-		}
-		if err != nil {
-			return errors.Wrap(err, r.Name)
-		}
+		l.loadControl(r)
 		l.rows.loaded(r)
 	}
 	return l.loadTables()
 }
 
+// loadControl reads a row of the machines. Without the orders of the former owner all machines may just have been ordered.
+func (l *lead) loadControl(r rowstore.Row) {
+	switch r.Key {
+	case progressKey:
+		l.noteDamage(r, json.Unmarshal(r.Value, &l.machines.progress))
+	case ordersKey:
+		err := l.machines.inherit(r.Value, l.started, l.opts.WallMS(), l.opts.MachineDelay)
+		l.noteDamage(r, err)
+		if err != nil {
+			l.machines.ordersFrom = max(l.machines.ordersFrom, l.started+l.opts.MachineDelay+inheritMargin)
+		}
+	}
+}
+
+// noteDamage logs that a row of the owner cannot be read. Each row is read by itself, so that a damaged one does not keep
+// all jobs from running.
+func (l *lead) noteDamage(r rowstore.Row, err error) {
+	if err != nil {
+		l.log.WithError(err).WithFields(log.Fields{"table": r.Table, "row": r.Name, "version": r.Version}).Error("row of the owner cannot be read")
+	}
+}
+
 // follow starts the feed of a table and returns a channel with its first batch, which holds the whole table. Later ones
 // are events.
 func (l *lead) follow(table string, parts []string) <-chan feed.Batch {
@@ -239,6 +253,13 @@
 			l.core.Suspend(now, id, true)
 		}
 		l.core.Settle(now, id, entry.Service, tasks)
+		if entry.Address == "" {
+			// Its registration brings the address, if the executor still runs.
+			time.AfterFunc(entry.inheritedLeases(), func() { l.emit(session.Lapsed{Executor: id}) })
+			delete(l.roster, id)
+			l.rows.remove(rosterKey(id))
+			continue
+		}
 		l.openSession(id, entry)
 	}
 }
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -44,7 +44,12 @@
 		return
 	}
 	job.ID = r.Name
-	stored := l.records[r.Name]
+	stored, found := l.records[r.Name]
+	if found && stored.record == nil {
+		// Its tasks may have run.
+		l.log.WithField("job", r.Name).Error("record of a job cannot be read; the job does not run")
+		return
+	}
 	if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("record of a job cannot be used; the job does not run")
 	}
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -99,6 +99,29 @@
 	})
 }
 
+// Guards against one damaged row of the owner that keeps every host from leading: the fleet would stand still until somebody
+// removes the row. The job whose record is damaged may have run and does not run again.
+func TestDamagedRowsDoNotStopTheFleet(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		w := newWorld(t, 2, 2)
+		w.submit("before", plainStep(2))
+		w.awaitAll([]string{"before"}, workload.StatusCompleted, 10*time.Second)
+		w.kill(w.leader())
+		for _, key := range []rowstore.Key{
+			{Table: frontend.RecordTable, Name: "damaged"}, progressKey, ordersKey, rosterKey("x0"), rosterKey("unknown"),
+		} {
+			w.store.Put(key, []byte(`{"s":`))
+		}
+		w.submit("damaged", plainStep(3))
+		w.submit("after", plainStep(2))
+		w.awaitAll([]string{"after"}, workload.StatusCompleted, 30*time.Second)
+		time.Sleep(20 * time.Second)
+		starts, _ := w.fleet.Counts()
+		assert.Equal(t, starts, 4)
+		w.check()
+	})
+}
+
 // Guards against a store that fills up with final jobs, and against a job that runs again because its record is gone.
 func TestFinalJobsAreRemovedAfterTheirRetention(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
