--- a/feed/feed.go
+++ b/feed/feed.go
@@ -19,6 +19,10 @@
 	DefaultWait = time.Second
 	// callTimeout is added to the wait; a slow store takes 0.4 s.
 	callTimeout = time.Second
+	// probeEvery spaces reads after one that failed, probeTimeout bounds each of them. They run beside each other: calls that
+	// began while the store was silent are never answered, and a slow store takes 0.7 s.
+	probeEvery   = 300 * time.Millisecond
+	probeTimeout = 1500 * time.Millisecond
 	// readTries bounds the attempts to read a page. Each has twice the time of the one before: the answer may have been
 	// lost, or may be large for a host with little processor time.
 	readTries = 4
@@ -60,7 +64,7 @@
 	var after uint64
 	full, down := true, false
 	for ctx.Err() == nil {
-		batch, next, err := step(ctx, o, full, after)
+		batch, next, err := step(ctx, o, full, down, after)
 		switch {
 		case err == nil:
 			if down {
@@ -86,17 +90,61 @@
 	}
 }
 
-func step(ctx context.Context, o Options, full bool, after uint64) (Batch, uint64, error) {
+func step(ctx context.Context, o Options, full, down bool, after uint64) (Batch, uint64, error) {
 	if full {
 		rows, version, err := ReadAll(ctx, o.Store, o.Table, o.Parts)
 		return Batch{Table: o.Table, Rows: rows, Full: true}, version, err
 	}
-	callCtx, cancel := context.WithTimeout(ctx, o.Wait+callTimeout)
-	defer cancel()
-	page, err := o.Store.Changes(callCtx, o.Table, after, o.Wait)
+	read := changes
+	if down {
+		read = regain
+	}
+	page, err := read(ctx, o, after)
 	return Batch{Table: o.Table, Rows: page.Rows}, max(page.Version, after), err
 }
 
+// changes waits for changes after a version.
+func changes(ctx context.Context, o Options, after uint64) (rowstore.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.Wait+callTimeout)
+	defer cancel()
+	return o.Store.Changes(ctx, o.Table, after, o.Wait)
+}
+
+// regain reads the changes after a version until the store answers.
+func regain(ctx context.Context, o Options, after uint64) (rowstore.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		page rowstore.Page
+		err  error
+	}
+	answers := make(chan answer)
+	probe := func() {
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		page, err := o.Store.Changes(callCtx, o.Table, after, 0)
+		select {
+		case answers <- answer{page, err}:
+		case <-ctx.Done():
+		}
+	}
+	next := time.NewTicker(probeEvery)
+	defer next.Stop()
+	go probe()
+	for {
+		select {
+		case a := <-answers:
+			if a.err == nil || errors.Is(a.err, rowstore.ErrHistoryGone) {
+				return a.page, a.err
+			}
+		case <-next.C:
+			go probe()
+		case <-ctx.Done():
+			return rowstore.Page{}, ctx.Err()
+		}
+	}
+}
+
 // ReadAll reads all rows of some parts of a table at the same time; nil parts mean the part without a name. Changes
 // after the returned version are not included for sure; some of them may be.
 func ReadAll(ctx context.Context, store Store, table string, parts []string) ([]rowstore.Row, uint64, error) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/tamarackworks/tamarackworks/feed"
@@ -78,3 +80,39 @@
 		assert.DeepEqual(t, slow.reads, map[string]int{"part-0": 1, "part-1": 1, "part-2": 2, "part-3": 1})
 	})
 }
+
+// Guards against changes that are seen seconds after an outage of the store, because the feed waits for calls that began in
+// the outage; a new owner or a caller's job waits as long. A store that is slow afterwards must be noticed too.
+func TestChangesAreSeenSoonAfterAnOutage(t *testing.T) {
+	for _, slow := range []time.Duration{0, 700 * time.Millisecond} {
+		for outage := 2 * time.Second; outage < 5*time.Second; outage += 170 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				store := rows.New()
+				handle := store.Handle()
+				var seen sync.Map
+				go feed.Follow(ctx, feed.Options{
+					Store: handle, Table: "t", Log: &log.Logger{Handler: discard.Default},
+					Deliver: func(b feed.Batch) {
+						for _, r := range b.Rows {
+							seen.Store(r.Name, true)
+						}
+					},
+				})
+				time.Sleep(time.Second)
+				handle.SetFault(func(bool) rows.Fault { return rows.Silence })
+				time.Sleep(outage)
+				store.Put(rowstore.Key{Table: "t", Name: "row"}, nil)
+				handle.SetFault(nil)
+				store.SetSlow(slow)
+				time.Sleep(400*time.Millisecond + slow)
+				_, ok := seen.Load("row")
+				assert.Check(t, ok, "outage of %s", outage)
+				cancel()
+				// Calls under way end.
+				time.Sleep(5 * time.Second)
+			})
+		}
+	}
+}
