--- a/frontend/store.go
+++ b/frontend/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tamarackworks/tamarackworks/elapsed"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 )
 
@@ -145,12 +146,5 @@
 	if limit, ok := ctx.Deadline(); ok && time.Until(limit) < d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return elapsed.Sleep(ctx, d)
 }
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -20,7 +20,8 @@
 	first, failed := sent, false
 	var pace pace
 	for {
-		elapsed.Sleep(ctx, sent+pace.interval()-m.opts.Now())
+		terms := pace.next(hedge)
+		elapsed.Sleep(ctx, sent+terms.interval-m.opts.Now())
 		if ctx.Err() != nil {
 			return "stopped"
 		}
@@ -28,13 +29,13 @@
 		next, version := m.lease, m.leaseVersion
 		m.mu.Unlock()
 		next.Renewal++
-		next.Successors, next.ValidMS = m.successors(), pace.validity().Milliseconds()
+		next.Successors, next.ValidMS = m.successors(), terms.validity.Milliseconds()
 		sent = m.opts.Now()
 		m.limit(sent + next.valid())
 		if !failed {
 			first = sent
 		}
-		r, err := rowstore.Race(ctx, rowstore.RaceOptions{Every: pace.hedge(hedge)}, rowstore.Repeat(renewTries,
+		r, err := rowstore.Race(ctx, rowstore.RaceOptions{Every: terms.hedge}, rowstore.Repeat(renewTries,
 			func(ctx context.Context) (uint64, error) { return m.write(ctx, next, version, nil, renewTimeout) }))
 		var conflict *rowstore.ConflictError
 		if took := m.opts.Now() - sent; took > renewInterval {
@@ -82,7 +83,10 @@
 	return d
 }
 
-// pace decides how long renewals are valid: less while all of the last ones were answered at once.
+// renewal is how long a renewal is valid, when the next one is due, and when it is sent again without an answer.
+type renewal struct{ validity, interval, hedge time.Duration }
+
+// pace shortens renewals while the last ones were answered at once.
 type pace struct{ steady int }
 
 func (p *pace) note(prompt bool) {
@@ -91,26 +95,12 @@
 	}
 }
 
-func (p *pace) validity() time.Duration {
-	if p.steady >= steadyRenewals {
-		return shortValidity
-	}
-	return validity
-}
-
-func (p *pace) interval() time.Duration {
-	if p.steady >= steadyRenewals {
-		return shortInterval
-	}
-	return renewInterval
-}
-
-// hedge returns when to send a renewal again; usual is the time for one of full validity.
-func (p *pace) hedge(usual time.Duration) time.Duration {
+// next returns the terms of the next renewal; hedge is that of one of full validity.
+func (p *pace) next(hedge time.Duration) renewal {
 	if p.steady >= steadyRenewals {
-		return shortHedge
+		return renewal{shortValidity, shortInterval, shortHedge}
 	}
-	return usual
+	return renewal{validity, renewInterval, hedge}
 }
 
 // hedgeAfter returns when to send the next renewal again if the last one took a time.
