--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -72,3 +72,58 @@
 		assert.Equal(t, key.Part, ownership.FenceKey.Part, "one part, so that one transaction checks the fence")
 	}
 }
+
+// Guards against an owner of thousands of machines that spends its processor time on storing the orders of one pass one by
+// one, and against a row of orders beyond what the store takes: the owner could commit nothing any more.
+func TestOrdersOfManyMachinesFitIntoOneRow(t *testing.T) {
+	const machines, rowBytes = 3000, 64 << 10
+	now := 10 * time.Second
+	l := newTestLead(t.Context(), func() time.Duration { return now })
+	l.opts.MachineDelay = 3 * time.Second
+	l.machines.ordersFrom = 0
+	config := &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "pool"}, {Name: "spare", Standby: true}}}
+	l.core.Configure(now, config)
+	l.machines.configure(config)
+	list := make([]workload.Machine, machines)
+	for i := range list {
+		id := fmt.Sprintf("i-%010x", i)
+		l.core.PutExecutor(now, workload.Executor{ID: id, Service: "pool", Capacity: capacity})
+		l.core.Report(now, id, workload.Report{BornUnixMS: 1}, now, 0)
+		list[i] = workload.Machine{ID: fmt.Sprintf("m-%05x", i), Pool: "pool", State: workload.MachineUp, Executor: id, Capacity: capacity}
+	}
+	now += 5 * time.Second
+	l.machines.replace(list, now)
+	l.planMachines(now)
+	assert.Equal(t, len(l.machines.ordered), maxRecentOrders)
+	row := l.rows.dirty[ordersKey]
+	assert.Assert(t, len(row) > 0 && len(row) <= rowBytes, "%d bytes", len(row))
+	now += l.opts.MachineDelay + recentMargin + time.Second
+	l.machines.listedAt = now
+	l.planMachines(now)
+	assert.Assert(t, len(l.machines.ordered) > maxRecentOrders, "the others follow")
+}
+
+// BenchmarkPlanMachines measures a pass over a fleet of 3,000 machines, half of which are to move.
+func BenchmarkPlanMachines(b *testing.B) {
+	now := 10 * time.Second
+	for b.Loop() {
+		b.StopTimer()
+		l := newTestLead(b.Context(), func() time.Duration { return now })
+		l.machines.ordersFrom = 0
+		config := &workload.Configuration{Version: 1, Services: []workload.Service{{Name: "pool"}, {Name: "spare", Standby: true}}}
+		l.core.Configure(now, config)
+		l.machines.configure(config)
+		list := make([]workload.Machine, 3000)
+		for i := range list {
+			id := fmt.Sprintf("i-%010x", i)
+			if i%2 == 0 {
+				l.core.PutExecutor(now, workload.Executor{ID: id, Service: "pool", Capacity: capacity})
+				l.core.Report(now, id, workload.Report{BornUnixMS: 1}, now, 0)
+			}
+			list[i] = workload.Machine{ID: fmt.Sprintf("m-%05x", i), Pool: "pool", State: workload.MachineUp, Executor: id, Capacity: capacity}
+		}
+		l.machines.replace(list, now+time.Second)
+		b.StartTimer()
+		l.planMachines(now + time.Second)
+	}
+}
--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -24,6 +24,8 @@
 	settleOrders = 800 * time.Millisecond
 	// recentMargin is added to the time for which orders are remembered, for attempts under way.
 	recentMargin = 2 * time.Second
+	// maxRecentOrders bounds the row of the machines that were ordered lately, some 25 bytes each; a row holds 64 KiB.
+	maxRecentOrders = 2000
 	// orderAttempts bounds the attempts of one order before it is planned anew.
 	orderAttempts = 5
 )
@@ -33,10 +35,12 @@
 	// ordersFrom is when this owner may order machines.
 	ordersFrom time.Duration
 	list       []workload.Machine
-	listedAt   time.Duration
-	listing    bool
-	pools      []workload.Service
-	waves      map[string]*pools.Wave
+	// index holds the places of machines in list.
+	index    map[string]int
+	listedAt time.Duration
+	listing  bool
+	pools    []workload.Service
+	waves    map[string]*pools.Wave
 	// progress is what is stored of each wave.
 	progress map[string]waveProgress
 	ordered  map[string]pools.Action
@@ -64,6 +68,14 @@
 	}
 }
 
+// replace takes over a list of machines that was asked for at a time.
+func (m *machineState) replace(list []workload.Machine, sentAt time.Duration) {
+	m.list, m.listedAt, m.index = list, sentAt, make(map[string]int, len(list))
+	for i := range list {
+		m.index[list[i].ID] = i
+	}
+}
+
 func (m *machineState) configure(config *workload.Configuration) { m.pools = config.Services }
 
 // machineEvent is a list of machines or the outcome of an order.
@@ -93,8 +105,13 @@
 	l.expectLeave(s)
 	actions := pools.PlanWaves(s)
 	actions = append(actions, pools.PlanMoves(s, m.forecast)...)
+	m.forgetOrders(now - l.opts.MachineDelay - recentMargin)
+	ordered := false
 	for _, a := range actions {
-		l.carryOutMachine(now, a)
+		ordered = l.carryOutMachine(now, a) || ordered
+	}
+	if ordered {
+		l.storeOrders(now)
 	}
 	l.logBursts(now)
 }
@@ -151,33 +168,34 @@
 	return s
 }
 
-func (l *lead) carryOutMachine(now time.Duration, a pools.Action) {
+// carryOutMachine carries out a decision, or prepares an order and reports true.
+func (l *lead) carryOutMachine(now time.Duration, a pools.Action) bool {
 	switch a.Kind {
 	case pools.ActionComplete:
 		a.Wave.Completed = true
 		l.log.WithFields(log.Fields{"wave": a.Wave.Name, "took_ms": (now - a.Wave.Started).Milliseconds()}).Info("wave completed")
 		l.storeWaveStatus(a.Wave)
-		return
+		return false
 	case pools.ActionCordon, pools.ActionUncordon:
 		if id := l.executorOf(a.Machine); id != "" {
 			l.core.Cordon(now, id, a.Kind == pools.ActionCordon)
 			l.logMachine(a, nil)
 		}
-		return
+		return false
 	}
-	if now < l.machines.ordersFrom {
-		return
+	if now < l.machines.ordersFrom || len(l.machines.lastOrder) >= maxRecentOrders {
+		return false
 	}
 	if id := l.executorOf(a.Machine); id != "" {
 		if a.Kind == pools.ActionMove && !l.core.Idle(id) {
-			return
+			return false
 		}
 		l.core.Cordon(now, id, true)
 	}
 	l.machines.ordered[a.Machine] = a
 	l.machines.lastOrder[a.Machine] = now
 	l.logMachine(a, nil)
-	l.storeOrders(now)
+	return true
 }
 
 func (l *lead) logMachine(a pools.Action, err error) {
@@ -190,10 +208,8 @@
 }
 
 func (l *lead) executorOf(machine string) string {
-	for _, m := range l.machines.list {
-		if m.ID == machine {
-			return m.Executor
-		}
+	if i, ok := l.machines.index[machine]; ok {
+		return l.machines.list[i].Executor
 	}
 	return ""
 }
@@ -219,7 +235,7 @@
 			m.listedAt = now
 			return
 		}
-		m.list, m.listedAt = e.list, e.sentAt
+		m.replace(e.list, e.sentAt)
 		for i := range m.list {
 			if at, ok := m.orderedAt[m.list[i].ID]; ok && e.sentAt < at {
 				m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
@@ -244,12 +260,10 @@
 	}
 	m.orderedAt[e.action.Machine] = now
 	m.confirming[e.action.Machine] = id
-	for i := range m.list {
-		if m.list[i].ID == e.action.Machine {
-			m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
-			if e.action.Kind == pools.ActionMove {
-				m.list[i].Pool = e.action.Pool
-			}
+	if i, ok := m.index[e.action.Machine]; ok {
+		m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
+		if e.action.Kind == pools.ActionMove {
+			m.list[i].Pool = e.action.Pool
 		}
 	}
 	if e.action.Kind == pools.ActionUpkeep {
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,10 +19,6 @@
 	wall := l.opts.WallMS()
 	recent := make(map[string]int64, len(l.machines.lastOrder))
 	for id, at := range l.machines.lastOrder {
-		if now-at > l.opts.MachineDelay+recentMargin {
-			delete(l.machines.lastOrder, id)
-			continue
-		}
 		recent[id] = wall - (now - at).Milliseconds()
 	}
 	value, err := json.Marshal(recent)
@@ -32,6 +29,11 @@
 	l.rows.put(ordersKey, value)
 }
 
+// forgetOrders drops orders that need not be remembered any more.
+func (m *machineState) forgetOrders(before time.Duration) {
+	maps.DeleteFunc(m.lastOrder, func(_ string, at time.Duration) bool { return at < before })
+}
+
 // sendOrders sends the orders for machines that are stored as ordered.
 func (l *lead) sendOrders(value []byte) {
 	var stored map[string]int64
