--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -32,6 +32,8 @@
 	config    *workload.Configuration
 	jobs      map[string]*job
 	executors map[string]*executor
+	// members holds the executors of each service in the order of their ids.
+	members map[string][]*executor
 	// settling holds the executors that may still run tasks for an earlier owner.
 	settling map[string]settling
 	// cancels holds cancellations of jobs that are not known yet.
@@ -57,7 +59,7 @@
 func New(opts Options) *Core {
 	return &Core{
 		opts: opts, config: &workload.Configuration{},
-		jobs: make(map[string]*job), executors: make(map[string]*executor),
+		jobs: make(map[string]*job), executors: make(map[string]*executor), members: make(map[string][]*executor),
 		settling: make(map[string]settling), cancels: make(map[string]bool),
 		active: make(map[string]map[*job]struct{}), dirtySvc: make(map[string]bool), arrived: make(map[string]int64), unplaced: make(map[string]int),
 		wanted: make(map[workload.StepID]bool),
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,6 +226,44 @@
 	assert.Equal(t, b.starts[1].Task, taskOf("long", 0, 0))
 }
 
+// Guards against executors that are not found under their service, or are still found under another one, after they came,
+// changed their service, ended or were forgotten in any order.
+func TestMembersFollowTheirServices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(t, 0)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			id := fmt.Sprintf("x%d", rapid.IntRange(0, 9).Draw(t, "executor"))
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				b.core.PutExecutor(b.now, workload.Executor{ID: id, Service: name, Capacity: size})
+			case 2:
+				b.core.Settle(b.now, id, name, nil)
+			case 3:
+				b.core.EndExecutor(b.now, id)
+			case 4:
+				b.core.RemoveExecutor(id)
+				b.core.Lapse(b.now, id)
+				b.core.ForgetExecutor(id)
+			}
+			for _, name := range []string{"a", "b"} {
+				var want []string
+				for id, e := range b.core.executors {
+					if e.info.Service == name {
+						want = append(want, id)
+					}
+				}
+				slices.Sort(want)
+				var got []string
+				for _, e := range b.core.members[name] {
+					got = append(got, e.info.ID)
+				}
+				assert.DeepEqual(t, got, want)
+			}
+		}
+	})
+}
+
 // Guards against waiting jobs that get room in another order than that of their ranks, whatever the length of the queue.
 func TestWaitingJobsComeInTheOrderOfTheirRanks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -16,6 +18,7 @@
 		c.decision(info.ID, "executor drains", map[string]any{"service": info.Service, "tasks": len(e.tasks)})
 	}
 	e.info, e.listed = info, true
+	c.join(e)
 	c.dirtySvc[info.Service] = true
 	c.evacuate(now, e)
 }
@@ -26,6 +29,7 @@
 	e := c.executor(now, id)
 	if e.info.Service == "" {
 		e.info.Service = service
+		c.join(e)
 	}
 	s := settling{service: service}
 	if tasks != nil {
@@ -81,10 +85,34 @@
 	if e == nil || e.listed || len(e.tasks) > 0 || open {
 		return false
 	}
+	c.leave(e)
 	delete(c.executors, id)
 	return true
 }
 
+// join makes an executor a member of its service.
+func (c *Core) join(e *executor) {
+	if e.memberOf == e.info.Service {
+		return
+	}
+	c.leave(e)
+	e.memberOf = e.info.Service
+	members := c.members[e.memberOf]
+	at, _ := slices.BinarySearchFunc(members, e.info.ID, byID)
+	c.members[e.memberOf] = slices.Insert(members, at, e)
+}
+
+// leave takes an executor out of the members of its service.
+func (c *Core) leave(e *executor) {
+	members := c.members[e.memberOf]
+	if at, found := slices.BinarySearchFunc(members, e.info.ID, byID); found {
+		c.members[e.memberOf] = slices.Delete(members, at, at+1)
+	}
+	e.memberOf = ""
+}
+
+func byID(e *executor, id string) int { return strings.Compare(e.info.ID, id) }
+
 // EndExecutor drops an executor that has ended for sure, with all that ran on it.
 func (c *Core) EndExecutor(now time.Duration, id string) {
 	e := c.executors[id]
@@ -96,6 +124,7 @@
 		c.requeue(now, t)
 	}
 	c.settled(id)
+	c.leave(e)
 	delete(c.executors, id)
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"sort"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -75,14 +74,14 @@
 	return false
 }
 
+// openExecutors returns the executors of a service that take new tasks, in the order of their ids.
 func (c *Core) openExecutors(now time.Duration, service string) []*executor {
 	var open []*executor
-	for _, e := range c.executors {
-		if e.info.Service == service && e.open(now) {
+	for _, e := range c.members[service] {
+		if e.open(now) {
 			open = append(open, e)
 		}
 	}
-	sort.Slice(open, func(a, b int) bool { return open[a].info.ID < open[b].info.ID })
 	return open
 }
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -150,6 +150,8 @@
 
 type executor struct {
 	info workload.Executor
+	// memberOf is the service in whose members the executor is.
+	memberOf string
 	// listed is set while the executor is registered.
 	listed  bool
 	contact bool
