--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -253,14 +253,34 @@
 			l.core.Suspend(now, id, true)
 		}
 		l.core.Settle(now, id, entry.Service, tasks)
-		if entry.Address == "" {
-			// Its registration brings the address, if the executor still runs.
-			time.AfterFunc(entry.inheritedLeases(), func() { l.emit(session.Lapsed{Executor: id}) })
+		if entry.Address != "" {
+			l.openSession(id, entry)
+			continue
+		}
+		// If the executor is registered, the roster has its address again, and its session settles it.
+		l.awaitLapse(id, entry.inheritedLeases())
+		if l.roster[id].Address == "" {
 			delete(l.roster, id)
 			l.rows.remove(rosterKey(id))
-			continue
 		}
-		l.openSession(id, entry)
+	}
+}
+
+// inheritedLapse means that the leases of an executor have lapsed whose entry of the roster could not be read.
+type inheritedLapse struct{ executor string }
+
+func (l *lead) awaitLapse(id string, d time.Duration) {
+	time.AfterFunc(d, func() { l.emit(inheritedLapse{id}) })
+}
+
+// settleLapsed notes that the leases of an executor without a session have lapsed, once that is certain.
+func (l *lead) settleLapsed(now time.Duration, id string) {
+	switch {
+	case l.sessions[id] != nil:
+	case !l.opts.Valid():
+		l.awaitLapse(id, tickInterval)
+	default:
+		l.core.Lapse(now, id)
 	}
 }
 
@@ -340,6 +360,8 @@
 		l.noteLoss(now, e.Executor)
 	case session.Lapsed:
 		l.core.Lapse(now, e.Executor)
+	case inheritedLapse:
+		l.settleLapsed(now, e.executor)
 	case session.Started:
 		outcome := startOutcome(e.Result)
 		l.opts.Metrics.started(string(e.Result), e.Took)
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -118,6 +118,13 @@
 		time.Sleep(20 * time.Second)
 		starts, _ := w.fleet.Counts()
 		assert.Equal(t, starts, 4)
+		w.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 30 * time.Second, workload.EndDone })
+		w.submit("long", plainStep(8))
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(w.fleet.Running()["x0"]), 4, "the executor of the damaged row is in use again")
+		time.Sleep(20 * time.Second)
+		starts, _ = w.fleet.Counts()
+		assert.Equal(t, starts, 12)
 		w.check()
 	})
 }
