Let a report decide when a start is refused as late after an unanswered attempt

The session took the result too_late as final for the whole order. It only is for attempts that arrive later: an attempt of which the response was lost may have arrived in time, and the lease of the executor, which holds extend, may outlast the deadline of the order. Change: with an unanswered attempt the result is unclear, and the next report of the executor decides. Before: TestAttemptAfterTheDeadlineDoesNotHideARun fails with too_late while the run is there. After: it passes; session and coordinator pass.

--- a/session/orders.go
+++ b/session/orders.go
@@ -52,6 +52,9 @@
 			return OtherIncarnation
 		case err == nil && resp.Result == OldRun:
 			return Unclear
+		case err == nil && ambiguous && resp.Result == TooLate:
+			// No attempt can start the run any more, but an unanswered one may have started it before the deadline.
+			return Unclear
 		case err == nil && ambiguous && !resp.Result.isFinal():
 			// An earlier attempt may still arrive at a time when the executor accepts it, for example when it has room again.
 			return s.cancelStart(o)
@@ -85,7 +88,7 @@
 // errNotOwner means that an attempt was not made, because another process may own the executors by now.
 var errNotOwner = errors.Wrap(ErrNotSent, "ownership is not confirmed")
 
-// isFinal reports whether all other attempts of the same order are refused too, whenever they arrive.
+// isFinal reports whether all attempts of the same order that arrive after this result are refused too.
 func (r Result) isFinal() bool {
 	return r == TooLate || r == OtherIncarnation || r == Fenced
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -191,6 +191,33 @@
 	})
 }
 
+// An attempt of a start that arrives after the deadline of the order is refused even if an earlier attempt, whose response was
+// lost, has started the run. The start must not count as refused then, after which the task would start on another executor too.
+func TestAttemptAfterTheDeadlineDoesNotHideARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Minute, workload.EndDone })
+		began := time.Now()
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			elapsed := time.Since(began)
+			switch {
+			case order == "hold" && elapsed < session.DefaultLease*3/10:
+				// The lease lasts longer than the deadline of the order.
+				return workers.None
+			case order == "start" && elapsed > session.DefaultLease:
+				return workers.None
+			case order == "start" && elapsed > session.DefaultLease*4/5:
+				return workers.LoseResponse
+			}
+			return workers.DropOrder
+		})
+		h.session.Start(order(1))
+		time.Sleep(session.DefaultLease + 400*time.Millisecond)
+		assert.Equal(t, len(h.fleet.Running()["x"]), 1)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Unclear})
+	})
+}
+
 // The tasks of an executor that does not respond must count as ended after its leases have expired, and not before.
 func TestSilentExecutorLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
