Repeat a stop that an unhealthy executor refuses

A stop that is refused by an unhealthy executor, which has done nothing, counted as answered: both where the session retracts a start with an unanswered attempt and where the core stops a run of which the start is under way. The executor then carries the late attempt out, and the task has been started elsewhere. Ruled out: runs that the executor lists; the core repeats their stop each second. Change: such a stop is sent again, until it is obeyed or all leases have expired. Before: TestStopIsRepeatedAtAnUnhealthyExecutor fails in both cases (1 start that nothing expects). After: it passes.

--- a/session/orders.go
+++ b/session/orders.go
@@ -104,7 +104,7 @@
 			resp, err := s.attempt(contactLossTries, func(ctx context.Context) (Response, error) {
 				return s.opts.Client.Stop(ctx, s.endpoint, o.Task, o.Run, fence)
 			})
-			if err == nil && (resp.Result != Fenced || s.superseded(resp, fence)) {
+			if err == nil && s.settlesStop(resp, fence) {
 				return Unclear
 			}
 		}
@@ -120,6 +120,12 @@
 	return s.fence
 }
 
+// settlesStop reports whether a response means that a stop need not be sent again. An unhealthy executor does nothing and may
+// still carry out a start that it has not answered.
+func (s *Session) settlesStop(resp Response, fence uint64) bool {
+	return resp.Result != Unhealthy && (resp.Result != Fenced || s.superseded(resp, fence))
+}
+
 // superseded reports whether an order was rejected because another owner has taken over the executor, and emits Superseded
 // then. An order of a closed session, or with the token for an earlier incarnation, may be rejected without another owner.
 func (s *Session) superseded(resp Response, fence uint64) bool {
@@ -168,7 +174,7 @@
 		if s.opts.Owns() {
 			fence := s.fencingToken()
 			resp, err := s.attempt(tries, func(ctx context.Context) (Response, error) { return call(ctx, fence) })
-			if err == nil && (resp.Result != Fenced || s.superseded(resp, fence)) {
+			if err == nil && s.settlesStop(resp, fence) {
 				return resp.Result
 			}
 			if err != nil {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -218,6 +218,46 @@
 	})
 }
 
+// An unhealthy executor may refuse to stop a run of which the start is still under way. Unless the stop is repeated, the
+// executor carries the start out later, while the task has been started on another executor.
+func TestStopIsRepeatedAtAnUnhealthyExecutor(t *testing.T) {
+	refuse := func() func(_, order string) workers.Fault {
+		starts, stops := 0, 0
+		return func(_, order string) workers.Fault {
+			switch order {
+			case "start":
+				if starts++; starts == 1 {
+					return workers.Late
+				}
+				return workers.Refuse
+			case "stop":
+				if stops++; stops <= 2 {
+					return workers.Refuse
+				}
+			}
+			return workers.None
+		}
+	}
+	for name, stop := range map[string]func(*harness){
+		"ordered":         func(h *harness) { h.session.Stop(order(1).Task, 1) },
+		"after a refusal": func(*harness) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.fleet.SetFault(refuse())
+				h.session.Start(order(1))
+				time.Sleep(50 * time.Millisecond)
+				stop(h)
+				time.Sleep(2 * workers.LateBy)
+				starts, _ := h.fleet.Counts()
+				assert.Equal(t, starts, 0, "the late attempt was carried out")
+				assert.DeepEqual(t, h.started(), []session.Result{session.Unclear})
+			})
+		})
+	}
+}
+
 // The tasks of an executor that does not respond must count as ended after its leases have expired, and not before.
 func TestSilentExecutorLapses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -60,6 +60,8 @@
 	LoseResponse
 	// Late does not respond and carries the order out LateBy later. The caller gets ErrNoResponse when its context ends.
 	Late
+	// Refuse responds with session.Unhealthy and does not carry the order out.
+	Refuse
 )
 
 // LateBy is the delay of orders with the fault Late.
@@ -257,6 +259,8 @@
 		carryOut()
 		<-ctx.Done()
 		return session.Response{}, session.ErrNoResponse
+	case Refuse:
+		return session.Response{Result: session.Unhealthy, ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}, nil
 	case Late:
 		time.AfterFunc(LateBy, func() { carryOut() })
 		<-ctx.Done()
