Take the longest lease of executors from the settings

After the restart of an executor under its id, a hold that was meant for the former incarnation may extend leases to that bound; the session took 6 s for a constant, so it could count runs as lapsed up to 4 s before they are. Change: setting max_lease in [bounds], filled in by the platform; default 6 s as before. Before: TestLeasesOfTheNextIncarnationMayLastAsLongAsAny fails with 6 s (2 events before the lease of 10 s ends). After: passes.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -95,6 +95,8 @@
 	Retention time.Duration
 	// StopTimeout is how long a task may keep running after an executor accepted its stop.
 	StopTimeout time.Duration
+	// MaxLease is the longest lease that an executor grants.
+	MaxLease time.Duration
 }
 
 // Coordinator runs the jobs while Lead runs, and answers queries about them.
--- a/node/node.go
+++ b/node/node.go
@@ -106,7 +106,7 @@
 		OwnsJobsUntil: func() time.Duration { return n.manager.OwnsJobsUntil() },
 		MayContinue:   func() bool { return n.manager.MayContinue() },
 		Log:           t.Log, Metrics: coordinator.NewMetrics(t.Registry),
-		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout,
+		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
 		options.Advice = advice
--- a/session/session.go
+++ b/session/session.go
@@ -30,10 +30,8 @@
 )
 
 const (
-	// DefaultLease is longer than a takeover, which takes 2 to 3 s, and shorter than the 6 s that an executor grants at most.
+	// DefaultLease is longer than a takeover, which takes 2 to 3 s.
 	DefaultLease = 5 * time.Second
-	// maxLease is the longest lease that an executor grants.
-	maxLease = 6 * time.Second
 	// firstOrderTimeout bounds the first attempt of an order; an executor normally responds within a few milliseconds. The
 	// time-out doubles with each attempt, up to maxOrderTimeout, in case this host or the executor is slow.
 	firstOrderTimeout = 100 * time.Millisecond
@@ -63,6 +61,8 @@
 	Tokens *Tokens
 	// Lease is how long each hold or start extends the leases on the executor.
 	Lease time.Duration
+	// MaxLease is the longest lease that an executor grants.
+	MaxLease time.Duration
 	// InheritedLease is how long leases granted by an earlier owner may still last.
 	InheritedLease time.Duration
 	// Now returns elapsed time on a clock that also advances while the host is suspended.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -30,6 +30,9 @@
 	lag       atomic.Int64
 }
 
+// maxLease is the longest lease that the simulated executor grants.
+const maxLease = 10 * time.Second
+
 func newHarness(t *testing.T) *harness {
 	h := &harness{fleet: workers.New(), owns: true}
 	h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
@@ -42,7 +45,7 @@
 	}
 	h.mu.Lock()
 	h.session = session.New(ctx, session.Endpoint{ID: "x"}, session.Options{
-		Client: h.fleet, Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease,
+		Client: h.fleet, Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
 		Now: func() time.Duration { return time.Since(began) }, Owns: owns,
 		MayContinue: func() bool { return owns() || h.continues.Load() },
 		Losses:      session.NewLossMonitor(), Lag: func() time.Duration { return time.Duration(h.lag.Load()) },
@@ -276,6 +279,22 @@
 	})
 }
 
+// A hold that was meant for the former incarnation of an executor may extend the leases of the next one to the longest that it
+// grants. Its tasks must not count as ended before that, after which they would run twice.
+func TestLeasesOfTheNextIncarnationMayLastAsLongAsAny(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, h.count(session.Reported{}) > 1)
+		h.fleet.SetUnreachable("x", true)
+		time.Sleep(maxLease - 2*time.Second)
+		assert.Equal(t, h.count(session.LeasesExpired{}), 0)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0)
+	})
+}
+
 // Leases must not expire while the owner runs and the executor responds.
 func TestLeasesAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/settings/node.go
+++ b/settings/node.go
@@ -30,6 +30,8 @@
 	StatusKept time.Duration
 	// StopTimeout is the longest time that an executor takes to stop a task.
 	StopTimeout time.Duration
+	// MaxLease is the longest lease that an executor grants.
+	MaxLease time.Duration
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
 	// LameDuck is how long the process still accepts requests after it stopped reporting that it is ready. It must be shorter
@@ -65,6 +67,7 @@
 		MachineLease:   l.Duration("bounds", "machine_lease", 3*time.Second, 0, time.Minute),
 		StatusKept:     l.Duration("bounds", "status_kept", 2*time.Minute, time.Second, 24*time.Hour),
 		StopTimeout:    l.Duration("bounds", "stop_timeout", 200*time.Millisecond, 0, time.Minute),
+		MaxLease:       l.Duration("bounds", "max_lease", 6*time.Second, time.Second, time.Minute),
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
 		Telemetry:      ReadTelemetry(l),
