Count only inherited tasks against caps after a takeover

Ruled out: processor time of the owner (lag of timers 1 to 4 ms there), contact (the executors had reported), the machine service. Ways: the capacity, which stands; tasks of inherited jobs that the new owner has seen neither running nor done, at most the capacity. Jobs that were cancelled or failed count in full, recurring jobs and unreadable rows leave the capacity. It acts only where organisations have caps.

--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -42,6 +42,7 @@
 	var job workload.Job
 	if err := json.Unmarshal(r.Value, &job); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("job row cannot be read")
+		l.addUnreadableJob(inherited)
 		return
 	}
 	job.ID = r.Name
@@ -49,6 +50,7 @@
 	if found && stored.record == nil {
 		// Its tasks may have run already and must not run again.
 		l.log.WithField("job", r.Name).Error("record of a job cannot be read; the job does not run")
+		l.addUnreadableJob(inherited)
 		return
 	}
 	if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
@@ -56,6 +58,13 @@
 	}
 }
 
+// addUnreadableJob tells the core of a job that is left out, if a former owner may have run its tasks.
+func (l *leadership) addUnreadableJob(inherited bool) {
+	if inherited {
+		l.core.AddUnreadableJob()
+	}
+}
+
 // applyOperator applies configurations and adds waves.
 func (l *leadership) applyOperator(now time.Duration, b feed.Batch) {
 	for _, r := range b.Rows {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -58,6 +58,8 @@
 	acksPending   bool
 	decisions     []Decision
 	organisations map[string]*organisation
+	// hasUnreadableJobs is set if inherited jobs are left out because their rows cannot be read.
+	hasUnreadableJobs bool
 	// waitClocks count what the tasks of each service wait for. waited sums the ended waits of all jobs.
 	waitClocks map[string]*waitClock
 	waited     waitTimes
@@ -133,13 +135,19 @@
 		status: workload.StatusQueued, durableStatus: workload.StatusQueued,
 		occs: make(map[int]*occurrence), doneOccs: make(map[int]bool),
 	}
+	j.organisation = c.organisation(spec.Organisation)
 	if rec != nil {
 		if err := j.restore(rec); err != nil {
+			if inherited {
+				c.AddUnreadableJob()
+			}
 			return err
 		}
 	}
 	c.jobs[spec.ID] = j
-	j.organisation = c.organisation(spec.Organisation)
+	if inherited {
+		j.organisation.addUnseen(j, spec)
+	}
 	if j.status.Final() {
 		j.finalAt = now
 		j.spec = &workload.Job{ID: spec.ID}
--- a/scheduler/organisations.go
+++ b/scheduler/organisations.go
@@ -13,6 +13,11 @@
 	limits *workload.Organisation
 	// used is the sum of what its tasks on executors reserve.
 	used workload.Resources
+	// unseen is the sum of what the tasks of its inherited jobs reserve that this owner has seen neither on an executor nor
+	// done: those that an earlier owner may have running on unreconciled executors. If unseenUnknown is set, there may be
+	// others.
+	unseen        workload.Resources
+	unseenUnknown bool
 	// tokens is the number of jobs that may arrive now within its share, as of refilledAt.
 	tokens     float64
 	refilledAt time.Duration
@@ -25,7 +30,7 @@
 	}
 	o := c.organisations[name]
 	if o == nil {
-		o = &organisation{limits: c.config.OrganisationByName(name)}
+		o = &organisation{limits: c.config.OrganisationByName(name), unseenUnknown: c.hasUnreadableJobs}
 		if o.limits != nil {
 			o.tokens = o.limits.Weight
 		}
@@ -56,17 +61,65 @@
 	return true
 }
 
-// fitsCap reports whether a task of a size fits under the cap of its organisation. unreported is what tasks of the organisation
-// may use on unreconciled executors; it counts as used.
+// fitsCap reports whether a task of a size fits under the cap of its organisation. What tasks of the organisation may use on
+// unreconciled executors counts as used: no more than unreported, the capacity of these executors, and than unseen.
 func (o *organisation) fitsCap(size, unreported workload.Resources) bool {
 	if o == nil || o.limits == nil {
 		return true
 	}
+	if !o.unseenUnknown {
+		unreported = unreported.Min(o.unseen)
+	}
 	limit, total := o.limits.Cap, o.used.Add(unreported).Add(size)
 	within := func(limit, total int) bool { return limit == 0 || total <= limit }
 	return within(limit.CPUMilli, total.CPUMilli) && within(limit.MemoryMB, total.MemoryMB) && within(limit.GPUs, total.GPUs)
 }
 
+// addUnseen counts the tasks of an inherited job that an earlier owner may have running. Tasks of a final job may still be
+// stopping, unless it completed; it has no state of its tasks.
+func (o *organisation) addUnseen(j *job, spec *workload.Job) {
+	switch {
+	case o == nil || j.status == workload.StatusCompleted:
+		return
+	case spec.Recurrence != nil:
+		o.unseenUnknown = true
+		return
+	case j.status.Final():
+		for i := range spec.Steps {
+			size := spec.Steps[i].Reserved()
+			for range spec.Steps[i].Count {
+				o.unseen = o.unseen.Add(size)
+			}
+		}
+		return
+	}
+	for _, s := range j.occurrence(0).steps {
+		for _, t := range s.tasks {
+			if t.state != taskDone {
+				t.unseen = true
+				o.unseen = o.unseen.Add(s.spec.Reserved())
+			}
+		}
+	}
+}
+
+// see records that this owner knows the executor of a task, or that the task is done.
+func (t *task) see() {
+	if t.unseen {
+		t.unseen = false
+		t.job.organisation.unseen = t.job.organisation.unseen.Sub(t.step.spec.Reserved())
+	}
+}
+
+// AddUnreadableJob records that an inherited job is left out because its row cannot be read. Its tasks may run, for any
+// organisation.
+func (c *Core) AddUnreadableJob() {
+	c.hasUnreadableJobs = true
+	for _, o := range c.organisations {
+		o.unseenUnknown = true
+	}
+}
+
 // maxUnreportedUse returns the most that tasks of an earlier owner may use on unreconciled executors, which may be full of tasks
 // of any one organisation. An executor of unknown capacity counts with the largest capacity known.
 func (c *Core) maxUnreportedUse() workload.Resources {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -184,6 +184,7 @@
 			e.detach(m, now)
 			c.dirtyServices[e.info.Service] = true
 		}
+		m.see()
 		m.setState(taskDone)
 		m.step.remaining--
 		m.step.occ.remaining--
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -63,6 +63,8 @@
 	respondedAt time.Duration
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
+	// unseen is set while organisation.unseen includes the task.
+	unseen bool
 	// avoidUntil holds the executors on which the task failed or stalled, and until when it is not placed there. The
 	// time is bounded because such an executor may be the only one on which the task fits.
 	avoidUntil map[string]time.Duration
@@ -244,6 +246,7 @@
 	if t.exec == e {
 		return
 	}
+	t.see()
 	t.exec = e
 	e.tasks[t] = struct{}{}
 	e.used = e.used.Add(t.step.spec.Reserved())
