Let late work yield machines to other pools

Late work counted a quarter as demand and took any free room. Ruled out: idle machines that are not lent (4 to 10 of 350 at the time). Ways: as it stands; demand in two levels, and as many machines as work on time lacks get no late tasks until they are idle.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -116,7 +116,9 @@
 	l.markLeavingExecutors(s)
 	l.updateMachineUsage(now, s)
 	actions := pools.PlanWaves(s)
-	actions = append(actions, pools.PlanMoves(s, m.arrivals)...)
+	plan := pools.PlanMoves(s, m.arrivals)
+	actions = append(actions, plan.Actions...)
+	l.setYielding(plan.Yielding)
 	m.forgetOrders(now - l.opts.MachineDelay - recentOrderMargin)
 	ordered := false
 	for _, a := range actions {
@@ -127,6 +129,15 @@
 	}
 }
 
+// setYielding tells the core on which executors no late work may start.
+func (l *leadership) setYielding(machines []string) {
+	executors := make(map[string]bool, len(machines))
+	for _, machine := range machines {
+		executors[l.executorOf(machine)] = true
+	}
+	l.core.SetYielding(executors)
+}
+
 func (l *leadership) anyMachineMoving() bool {
 	for _, m := range l.machines.list {
 		if m.State == workload.MachineMoving {
@@ -149,7 +160,7 @@
 		if i, ok := usage[m.Executor]; ok && m.Executor != "" {
 			u := usages[i]
 			x.Tasks, x.LongRunning, x.IdleFor = u.Tasks, u.LongRunning, u.IdleFor
-			x.Cordoned, x.FreeCPU, x.FiniteCPU = u.Cordoned, u.FreeCPU, u.FiniteCPU
+			x.Cordoned, x.Yielding, x.FreeCPU, x.FiniteCPU = u.Cordoned, u.Yielding, u.FreeCPU, u.FiniteCPU
 			x.Usable, x.Reachable, x.Reported = u.Usable, u.Reachable, u.Reported
 		}
 		_, ordered := l.machines.pendingOrders[m.ID]
@@ -163,7 +174,7 @@
 	for _, p := range l.machines.pools {
 		d := demands[p.Name]
 		s.Pools = append(s.Pools, pools.Pool{
-			Name: p.Name, Standby: p.Standby, Waiting: d.Waiting, Discounted: d.Discounted, Arrived: d.Arrived,
+			Name: p.Name, Standby: p.Standby, Waiting: d.Waiting, Late: d.Late, TooLate: d.TooLate, Arrived: d.Arrived,
 			LongRunning: d.LongRunning, Unplaced: d.Unplaced, Spread: d.Spread,
 		})
 	}
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -104,7 +104,7 @@
 	m.lag.Set(lag.Seconds())
 	var sum int64
 	for _, d := range core.Demands(now) {
-		sum += d.Waiting + d.Discounted
+		sum += d.Waiting + d.Late + d.TooLate
 	}
 	m.backlog.Set(float64(sum) / 1000)
 	m.countWaits(core)
--- a/pools/moves.go
+++ b/pools/moves.go
@@ -1,6 +1,8 @@
 package pools
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +18,9 @@
 	standbyIdleTime = 700 * time.Millisecond
 	// lendIdleTime is how long a machine must be idle before it moves to another pool with a shortfall.
 	lendIdleTime = 150 * time.Millisecond
+	// lateWeight is the weight of late work as demand, relative to work that can be on time. It is low because most callers no
+	// longer wait for late results.
+	lateWeight = 0.25
 	// minShortfall is the smallest shortfall that is worth a move, as a fraction of the machine's CPU.
 	minShortfall = 0.35
 )
@@ -32,27 +37,76 @@
 	machines, inTransit int
 	// idle holds the machines that can be moved away, longest idle first except in standby.
 	idle []*Machine
-	// shortfall is the CPU that the pool lacks; negative if it has more than it needs. initialShortfall is its value before
-	// machines were assigned.
+	// busy holds the machines on which only finite tasks run.
+	busy []*Machine
+	// shortfall is the CPU that the pool lacks, at first without its late work; negative if it has more than it needs.
+	// initialShortfall is its value before machines were assigned.
 	shortfall, initialShortfall float64
 	// machineCPU is the CPU of the largest machine of all pools.
 	machineCPU float64
 }
 
+// MovePlan is the result of PlanMoves.
+type MovePlan struct {
+	Actions []Action
+	// Yielding holds the machines on which no late work may start, so that they become idle and can be moved.
+	Yielding []string
+}
+
 // PlanMoves moves idle machines to the pools whose work waits or arrives faster than running tasks end, and moves machines
 // that are not needed to a standby pool, where they cost nothing. This serves queues that in turn have bursts of more work
-// than their pool can run. A machine is moved only when nothing runs on it.
-func PlanMoves(s Snapshot, a *Arrivals) []Action {
+// than their pool can run. A machine is moved only when nothing runs on it. Work that can be on time comes first: late work of
+// a pool neither attracts nor keeps machines that another pool needs for it.
+func PlanMoves(s Snapshot, a *Arrivals) MovePlan {
 	a.Observe(s)
 	states, standby := poolStates(s, a)
 	if len(states) == 0 {
-		return nil
+		return MovePlan{}
 	}
 	actions := assignMachines(states, standby)
-	if standby == nil {
-		return actions
+	yielding := yieldingMachines(states)
+	for _, p := range states {
+		p.shortfall += lateWeight * float64(p.Late) / backlogClearTime.Seconds()
+	}
+	actions = append(actions, assignMachines(states, standby)...)
+	if standby != nil {
+		actions = append(actions, moveIdleToStandby(states, standby, actions)...)
+	}
+	return MovePlan{actions, yielding}
+}
+
+// yieldingMachines selects the machines that are to run out of late work, as many as pools lack for work that can be on time.
+// They come from pools without such a lack. Machines that yield already come first, so that the selection is stable; then
+// those with the fewest tasks.
+func yieldingMachines(states map[string]*poolState) []string {
+	missing := 0.0
+	var candidates []*Machine
+	for _, p := range states {
+		switch {
+		case p.shortfall > minShortfall*p.machineCPU && p.Waiting > 0:
+			missing += p.shortfall
+		case p.shortfall <= 0 && p.Late+p.TooLate > 0:
+			candidates = append(candidates, p.busy...)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *Machine) int {
+		if a.Yielding != b.Yielding {
+			if a.Yielding {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Tasks, b.Tasks), cmp.Compare(a.ID, b.ID))
+	})
+	var yielding []string
+	for _, m := range candidates {
+		if missing <= 0 {
+			break
+		}
+		missing -= float64(m.Capacity.CPUMilli)
+		yielding = append(yielding, m.ID)
 	}
-	return append(actions, moveIdleToStandby(states, standby, actions)...)
+	return yielding
 }
 
 // poolStates sums the machines of each pool and computes its shortfall. Machines that are cordoned or have an order in
@@ -110,8 +164,8 @@
 	return states, standby
 }
 
-// demand returns the CPU that a pool should have free: for waiting finite tasks, for waiting long-running tasks, and for work
-// that arrives faster than finite tasks release CPU. Without the last part, the machines on their way to a rising burst
+// demand returns the CPU that a pool should have free, late work left out: for waiting finite tasks, for waiting long-running
+// tasks, and for work that arrives faster than finite tasks release CPU. Without the last part, the machines on their way to a rising burst
 // would seem sufficient until the arrivals meanwhile had become a backlog, and more machines would come one move too late.
 // The rate is in thousandths of a core.
 func (p *poolState) demand(rate float64) float64 {
@@ -133,6 +187,8 @@
 		p.freeCPU += float64(m.FreeCPU)
 		if m.Tasks == 0 {
 			p.idle = append(p.idle, m)
+		} else if m.LongRunning == 0 {
+			p.busy = append(p.busy, m)
 		}
 	}
 }
@@ -220,7 +276,7 @@
 	for _, p := range byShortfall(states) {
 		for _, m := range p.idle {
 			surplus := -p.shortfall - float64(m.Capacity.CPUMilli)
-			if moving[m.ID] || m.IdleFor < standbyIdleTime || p.machines <= p.minMachines() || surplus < 0 || p.Waiting+p.Discounted > 0 {
+			if moving[m.ID] || m.IdleFor < standbyIdleTime || p.machines <= p.minMachines() || surplus < 0 || p.Waiting+p.Late+p.TooLate > 0 {
 				continue
 			}
 			p.machines--
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -42,8 +42,8 @@
 	Tasks, LongRunning int
 	// IdleFor is the time since the executor's last task ended; 0 while it has tasks.
 	IdleFor time.Duration
-	// Cordoned is set while the executor gets no new tasks.
-	Cordoned bool
+	// Cordoned is set while the executor gets no new tasks, Yielding while it gets no late ones.
+	Cordoned, Yielding bool
 	// Usable is set if the executor can take tasks now. Reachable is set if it is registered, in contact with the owner and
 	// not draining. Reported is set if it has reported what it runs, or if no executor runs on the machine.
 	Usable, Reachable, Reported bool
@@ -74,10 +74,10 @@
 	Name string
 	// Standby marks a pool whose machines are off and not paid for.
 	Standby bool
-	// Waiting and Discounted are the estimated work of ready finite tasks that run nowhere, in thousandths of a core times
-	// seconds. Waiting counts tasks that can be on time in full, late ones in part and those that are too late not at all;
-	// Discounted is the rest. Arrived is the estimated finite work of all jobs since the owner began, in the same unit.
-	Waiting, Discounted, Arrived int64
+	// Waiting, Late and TooLate are the estimated work of ready finite tasks that run nowhere, in thousandths of a core times
+	// seconds: of jobs that can be on time, of late ones, and of those whose result has no value any more. Arrived is the
+	// estimated finite work of all jobs since the owner began, in the same unit.
+	Waiting, Late, TooLate, Arrived int64
 	// LongRunning is the CPU that the ready long-running tasks without an executor reserve, in thousandths of a core.
 	LongRunning int64
 	// Unplaced is the number of long-running tasks for which the scheduler found no executor. There may be free CPU, on
@@ -87,6 +87,9 @@
 	Spread int
 }
 
+// hasBacklog reports whether work waits that still has value.
+func (p *Pool) hasBacklog() bool { return p.Waiting+p.Late > 0 }
+
 // Snapshot is the input of the planners.
 type Snapshot struct {
 	// Now is on the owner's monotonic clock.
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -46,7 +46,7 @@
 	for i := range 6 {
 		s.Machines = append(s.Machines, standbyMachine(fmt.Sprint("s", i)))
 	}
-	moves := movesTo(PlanMoves(s, NewArrivals()))
+	moves := movesTo(PlanMoves(s, NewArrivals()).Actions)
 	// 14 core-seconds within 0.35 s need 40 cores, which are 2.5 machines.
 	assert.DeepEqual(t, moves, map[string]int{"a": 3})
 }
@@ -58,7 +58,7 @@
 	for i := range 8 {
 		s.Machines = append(s.Machines, standbyMachine(fmt.Sprint("s", i)))
 	}
-	moves := movesTo(PlanMoves(s, NewArrivals()))
+	moves := movesTo(PlanMoves(s, NewArrivals()).Actions)
 	assert.Equal(t, moves["a"]+moves["b"], 8)
 	assert.Assert(t, moves["b"] >= 1)
 }
@@ -69,7 +69,7 @@
 	for i := range 9 {
 		s.Machines = append(s.Machines, machine(fmt.Sprint("a", i), "a", 0))
 	}
-	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals())), map[string]int{"off": 4})
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"off": 4})
 }
 
 // Guards against counting machines whose executor is unreachable towards the spread of long-running steps.
@@ -79,7 +79,7 @@
 	unreachable.Usable, unreachable.Reachable, unreachable.FreeCPU = false, false, 0
 	s.Machines = append(s.Machines, machine("a0", "a", 1), unreachable, standbyMachine("s0"), standbyMachine("s1"))
 	s.Machines[0].FreeCPU = 8000
-	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals())), map[string]int{"a": 1})
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 1})
 }
 
 // Guards against long-running tasks that wait although there is free CPU, because every executor of their pool is to leave or
@@ -88,18 +88,18 @@
 	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Spread: 1, Unplaced: 2, LongRunning: 2000}, {Name: "off", Standby: true}}}
 	s.Machines = append(s.Machines, machine("a0", "a", 1), machine("a1", "a", 1), standbyMachine("s0"), standbyMachine("s1"))
 	s.Machines[0].FreeCPU, s.Machines[1].FreeCPU = 12000, 12000
-	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals())), map[string]int{"a": 1})
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 1})
 	incoming := standbyMachine("s2")
 	incoming.Pool, incoming.State = "a", workload.MachineMoving
 	s.Machines = append(s.Machines, incoming)
-	assert.Equal(t, len(PlanMoves(s, NewArrivals())), 0, "a machine is on its way")
+	assert.Equal(t, len(PlanMoves(s, NewArrivals()).Actions), 0, "a machine is on its way")
 }
 
 // Guards against moving a machine on which a task runs.
 func TestBusyMachinesStay(t *testing.T) {
 	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Waiting: 50000}, {Name: "b"}}}
 	s.Machines = append(s.Machines, machine("a0", "a", 3), machine("b0", "b", 1), machine("b1", "b", 1))
-	assert.Equal(t, len(PlanMoves(s, NewArrivals())), 0)
+	assert.Equal(t, len(PlanMoves(s, NewArrivals()).Actions), 0)
 }
 
 // Guards against a wave that has more than MaxAtOnce machines down, for example by not counting a machine whose maintenance an
@@ -189,7 +189,7 @@
 		for i := range 8 {
 			s.Machines = append(s.Machines, standbyMachine(fmt.Sprint("s", i)))
 		}
-		moves = movesTo(PlanMoves(s, arrivals))
+		moves = movesTo(PlanMoves(s, arrivals).Actions)
 	}
 	// Work for 60 cores arrives each second. Finite tasks use 16 cores, and 16 cores are on their way. The backlog of 4
 	// core-seconds needs 11 more. The shortfall is 60 - 16 - 16 + 11 = 39 cores, which are 2.5 machines.
@@ -207,9 +207,9 @@
 		s.Machines = append(s.Machines, m)
 	}
 	s.Machines[1].IdleFor = 50 * time.Millisecond
-	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals())), map[string]int{"off": 4})
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"off": 4})
 	s.Pools[0].Waiting = 90000
-	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals())), map[string]int{"a": 4})
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 4})
 }
 
 // cordonedAfter plans a wave for a number of ticks and returns how many machines of each pool are cordoned at the end. The
--- a/pools/waves.go
+++ b/pools/waves.go
@@ -162,7 +162,7 @@
 	}
 	needed := parallelismNeeded(pending, maintenanceTime, untilPlannedEnd)
 	for _, p := range s.Pools {
-		if p.Waiting > 0 {
+		if p.hasBacklog() {
 			return min(limit, needed), false
 		}
 	}
@@ -202,7 +202,7 @@
 func (s *Snapshot) poolsWithBacklog() map[string]bool {
 	backlogged := make(map[string]bool)
 	for _, p := range s.Pools {
-		if p.Waiting > 0 {
+		if p.hasBacklog() {
 			backlogged[p.Name] = true
 		}
 	}
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -5,12 +5,10 @@
 // Demand is the load of one service, from which machines are planned for its pool. Work is in thousandths of a core times
 // seconds.
 type Demand struct {
-	// Waiting is the estimated work of ready tasks that are not long-running, weighted by its value: jobs that can be on
-	// time count in full, late ones and those beyond the share of their organisation in part, and those that are too late
-	// not at all.
-	Waiting int64
-	// Discounted is the part of this work that the weights leave out of Waiting.
-	Discounted int64
+	// Waiting, Late and TooLate are the estimated work of ready tasks that are not long-running. Waiting is that of jobs that
+	// can be on time. Late is that of late jobs and of those beyond the share of their organisation. TooLate is that of
+	// jobs whose result has no value any more.
+	Waiting, Late, TooLate int64
 	// Arrived is the estimated work of all jobs that arrived since this owner started, without long-running tasks.
 	Arrived int64
 	// LongRunning is what ready long-running tasks reserve, in thousandths of a core.
@@ -33,10 +31,10 @@
 		d := demands[service]
 		d.Unplaced = c.unplaced[service]
 		for j := range jobs {
-			weight := workWeight(rankOf(now, j).class)
+			waiting := d.waitingWork(rankOf(now, j).class)
 			for _, o := range j.occs {
 				for _, s := range o.steps {
-					d.add(s, weight)
+					d.add(s, waiting)
 				}
 			}
 		}
@@ -45,22 +43,20 @@
 	return demands
 }
 
-// lateWeight is the weight of late work in percent. It is low because most callers no longer wait for late results.
-const lateWeight = 25
-
-// workWeight returns the weight in percent with which the work of a job of a class counts as demand.
-func workWeight(class int) int64 {
+// waitingWork returns the field that counts the waiting work of a job of a class.
+func (d *Demand) waitingWork(class int) *int64 {
 	switch class {
 	case classLate, classBeyondShare:
-		return lateWeight
+		return &d.Late
 	case classTooLate:
-		return 0
+		return &d.TooLate
 	}
-	return 100
+	return &d.Waiting
 }
 
-// add counts the pending tasks of a step, with a weight in percent, if the step is ready.
-func (d *Demand) add(s *step, weight int64) {
+// add counts the pending tasks of a step, if it is ready: those that are not long-running in waiting, which points to a field
+// of d.
+func (d *Demand) add(s *step, waiting *int64) {
 	if s.remaining == 0 || !s.ready() {
 		return
 	}
@@ -75,8 +71,7 @@
 		case s.spec.LongRunning:
 			d.LongRunning += int64(s.spec.Reserved().CPUMilli)
 		default:
-			d.Waiting += s.taskWork() * weight / 100
-			d.Discounted += s.taskWork() * (100 - weight) / 100
+			*waiting += s.taskWork()
 		}
 	}
 }
@@ -106,8 +101,8 @@
 	// Tasks is the number of its tasks, LongRunning the number of those that are long-running.
 	Tasks, LongRunning int
 	// IdleFor is how long it has had no task; 0 if it has one.
-	IdleFor  time.Duration
-	Cordoned bool
+	IdleFor            time.Duration
+	Cordoned, Yielding bool
 	// FreeCPU is in thousandths of a core.
 	FreeCPU int
 	// FiniteCPU is what tasks that are not long-running reserve, in thousandths of a core; it becomes free as they end.
@@ -121,7 +116,7 @@
 		u := Usage{
 			ID: id, Service: e.info.Service, Usable: e.acceptsTasks(now), Tasks: len(e.tasks),
 			Reachable: e.registered && e.inContact && !e.info.Draining, Reported: e.reported,
-			Cordoned: e.cordoned, FreeCPU: e.free().CPUMilli,
+			Cordoned: e.cordoned, Yielding: e.yielding, FreeCPU: e.free().CPUMilli,
 		}
 		for t := range e.tasks {
 			if t.step.spec.LongRunning {
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -50,6 +50,16 @@
 	c.dirtyServices[e.info.Service] = true
 }
 
+// SetYielding sets the executors that get no tasks of late jobs, by ID. All others get them.
+func (c *Core) SetYielding(ids map[string]bool) {
+	for id, e := range c.executors {
+		if e.yielding && !ids[id] {
+			c.dirtyServices[e.info.Service] = true
+		}
+		e.yielding = ids[id]
+	}
+}
+
 // TasksOn returns the tasks that this owner has placed on an executor and that it may still run.
 func (c *Core) TasksOn(id string) []workload.TaskID {
 	tasks := []workload.TaskID{}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -44,6 +45,10 @@
 			p.allFull = true
 			return
 		}
+		if j.class >= classLate && !p.skipsYielding {
+			p.skipsYielding = true
+			p.candidates = slices.DeleteFunc(p.candidates, func(e *executor) bool { return e.yielding })
+		}
 		for _, o := range j.occs {
 			for _, s := range o.steps {
 				if s.hasReadyTasks() {
@@ -111,6 +116,8 @@
 	capped bool
 	// rejected holds shapes for which no candidate was found in this pass.
 	rejected []shape
+	// skipsYielding is set once candidates leaves out the executors that yield.
+	skipsYielding bool
 	// allFull is set once no candidate has room for any ready task that is left.
 	allFull bool
 }
@@ -280,6 +287,8 @@
 	remotePenalty = 100.0
 	// leavingPenalty keeps long-running tasks off executors that will be cordoned soon.
 	leavingPenalty = 20.0
+	// yieldingPenalty lets executors become idle whose machine is needed in another pool.
+	yieldingPenalty = 10.0
 	// emptyPenalty keeps long-running tasks together, so that other executors can be moved to other pools.
 	emptyPenalty = 2.0
 	// crowdedPenalty keeps them off executors with a serving task whose tail latency is above crowdedTailRatio of its objective.
@@ -300,6 +309,9 @@
 	if _, failed := t.avoidUntil[e.info.ID]; failed || e.failStreak > 0 {
 		penalty += failingPenalty
 	}
+	if e.yielding {
+		penalty += yieldingPenalty
+	}
 	remaining := float64(e.free().CPUMilli-spec.Size.CPUMilli) / float64(max(e.info.Capacity.CPUMilli, 1))
 	if !spec.LongRunning {
 		return penalty + remaining
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -206,6 +206,9 @@
 	tasks          map[*task]struct{}
 	// cordoned executors get no new tasks, because their machine is to be moved to another pool or maintained.
 	cordoned bool
+	// yielding executors get no tasks of late jobs, and others only if no other executor has room, because their machine is
+	// needed in another pool.
+	yielding bool
 	// suspended executors get no new tasks. It is set until the stored record of the executor no longer limits its tasks.
 	suspended bool
 	// cordonExpected executors will be cordoned later; long-running tasks are placed elsewhere if possible.
