Do not reject a job that an earlier attempt may have stored

Ruled out: a write for each rejection; a marker of first attempts (requests have none); answering 504 to all in an outage, which spends the tries of callers, who come back after some 0.1 s then and after 1 s when they are told that the job does not run. Change: the owner, which every host asks before it rejects, remembers the jobs that an attempt may have stored, and accepts a job that it knows already. A host remembers its own. Before: TestJobsOfUnknownFateAreNotRejectedElsewhere fails (503). After: passes, and other jobs are rejected within 0.2 s as before. Left: if the first host reaches neither store nor owner, the owner does not learn of it; if the second host does not reach the owner, it rejects as before (docs/platform.md). A new owner remembers nothing.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -99,8 +99,10 @@
 // Owner is the owner of the jobs, on this host or another. It reports on the jobs that it knows, and writes rows for hosts
 // that cannot reach the store themselves.
 type Owner interface {
-	// StoreJob and StoreCancel return errors that match rowstore.ErrUnavailable or rowstore.ErrAmbiguous.
-	StoreJob(ctx context.Context, id string, value []byte) error
+	// StoreJob and StoreCancel return errors that match rowstore.ErrUnavailable or rowstore.ErrAmbiguous. StoreJob succeeds if
+	// the owner knows the job. uncertain means that an attempt on another path may store the job; the owner remembers that, so
+	// that no host rejects the job.
+	StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error
 	StoreCancel(ctx context.Context, id string) error
 	JobStatus(ctx context.Context, id string) (status workload.Status, known bool, err error)
 	QueueLength(ctx context.Context, route string) (int, error)
@@ -137,8 +139,9 @@
 
 // Frontend handles the requests of callers. It is safe for concurrent use.
 type Frontend struct {
-	opts   Options
-	config atomic.Pointer[indexedConfiguration]
+	opts      Options
+	config    atomic.Pointer[indexedConfiguration]
+	uncertain uncertainJobs
 }
 
 // indexedConfiguration is a configuration with an index of its API keys.
@@ -245,7 +248,16 @@
 		return Result{Outcome: Rejected}
 	}
 	outcome, tries, err := f.writeHedged(ctx, func(partition string) rowstore.Txn { return jobTxn(partition, job.ID, value) }, job.ID,
-		func(ctx context.Context) error { return f.opts.Owner.StoreJob(ctx, job.ID, value) })
+		func(ctx context.Context, uncertain bool) error {
+			return f.opts.Owner.StoreJob(ctx, job.ID, value, uncertain)
+		})
+	switch {
+	case outcome == Unknown:
+		f.uncertain.add(job.ID)
+	case outcome == Unavailable && f.uncertain.has(job.ID):
+		// An earlier attempt of the caller may still store the job.
+		outcome = Unknown
+	}
 	entry := f.opts.Log.WithFields(log.Fields{"job": job.ID, "queue": m.Name, "config": m.ConfigVersion, "tries": tries})
 	if err != nil {
 		entry = entry.WithError(err)
@@ -280,7 +292,7 @@
 		return Result{Outcome: NoJob}
 	}
 	outcome, tries, err := f.writeHedged(ctx, func(partition string) rowstore.Txn { return cancelTxn(partition, id) }, id,
-		func(ctx context.Context) error { return f.opts.Owner.StoreCancel(ctx, id) })
+		func(ctx context.Context, _ bool) error { return f.opts.Owner.StoreCancel(ctx, id) })
 	if outcome != OK {
 		f.opts.Log.WithError(err).WithFields(log.Fields{"job": id, "tries": tries}).Warn("cancellation not confirmed")
 		return Result{outcome, retryAfter}
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -24,6 +24,8 @@
 type fakeOwner struct {
 	handle      *rows.Handle
 	unreachable bool
+	// frontend, if set, is that of the owner's host, which stores the jobs.
+	frontend *Frontend
 }
 
 func (o *fakeOwner) JobStatus(context.Context, string) (workload.Status, bool, error) {
@@ -35,10 +37,13 @@
 
 func (o *fakeOwner) QueueLength(context.Context, string) (int, error) { return 3, nil }
 
-func (o *fakeOwner) StoreJob(ctx context.Context, id string, value []byte) error {
+func (o *fakeOwner) StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error {
 	if o.unreachable {
 		return rowstore.ErrUnavailable
 	}
+	if o.frontend != nil {
+		return o.frontend.StoreJob(ctx, id, value, uncertain)
+	}
 	key := rowstore.Key{Table: JobTable, Partition: SubmitPartition(id), Name: id}
 	_, err := o.handle.Commit(ctx, rowstore.Txn{Expect: []rowstore.Expect{{Key: key}}, Put: []rowstore.Row{{Key: key, Value: value}}})
 	return err
@@ -159,6 +164,33 @@
 	})
 }
 
+// Replays an outage of the store that begins while a job is written: the write is applied or not, and its response is lost. The
+// caller submits the job again at another host, which does not reach the store either. Guards against an answer that says that
+// the job never runs, and against other submissions that wait because of it.
+func TestJobsOfUnknownFateAreNotRejectedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, fault := range []rows.Fault{rows.LoseResponse, rows.Late, rows.DropCall} {
+			first, second, owner := newFixture(t), newFixture(t), newFixture(t)
+			first.owner.frontend, second.owner.frontend = owner.frontend, owner.frontend
+			first.handle.SetFault(func(bool) rows.Fault { return fault })
+			second.storeResponsive.Store(false)
+			owner.storeResponsive.Store(false)
+			result, _ := first.submit(t, "j")
+			assert.Equal(t, result.Outcome, Unknown)
+			for _, host := range []*fixture{first, second} {
+				host.storeResponsive.Store(false)
+				result, took := host.submit(t, "j")
+				assert.Equal(t, result.Outcome, Unknown)
+				assert.Assert(t, result.RetryAfter > 0 && took < 3*time.Second)
+				result, took = host.submit(t, "other")
+				assert.Equal(t, result.Outcome, Unavailable)
+				assert.Assert(t, took < 200*time.Millisecond)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
 // Guards against rejecting a job on a host without a store connection while the owner could store it, and against a
 // rejection that is late, or false because the job is stored afterwards.
 func TestHostWithoutStoreRelaysOrRejectsAtOnce(t *testing.T) {
--- a/frontend/store.go
+++ b/frontend/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -13,12 +14,22 @@
 // writeHedged applies a conditional or idempotent transaction until its outcome is certain or ctx ends. It tries the primary
 // partition, the owner and the fallback partition, because the store may be unreachable from this host only, or fail in some
 // partitions only. A conflict means that the rows exist already. If all three paths certainly fail, it returns at once.
+// storeViaOwner is told whether a direct write may have been or may yet be applied.
 func (f *Frontend) writeHedged(
-	ctx context.Context, txn func(partition string) rowstore.Txn, id string, storeViaOwner func(context.Context) error,
+	ctx context.Context, txn func(partition string) rowstore.Txn, id string, storeViaOwner func(ctx context.Context, uncertain bool) error,
 ) (outcome Outcome, tries int, err error) {
-	primary := func(ctx context.Context) (uint64, error) { return 0, f.commit(ctx, txn(SubmitPartition(id))) }
-	fallback := func(ctx context.Context) (uint64, error) { return 0, f.commit(ctx, txn(FallbackSubmitPartition(id))) }
-	viaOwner := func(ctx context.Context) (uint64, error) { return 0, storeViaOwner(ctx) }
+	var unsettled atomic.Int32
+	commit := func(ctx context.Context, partition string) (uint64, error) {
+		unsettled.Add(1)
+		err := f.commit(ctx, txn(partition))
+		if err == nil || errors.Is(err, rowstore.ErrUnavailable) {
+			unsettled.Add(-1)
+		}
+		return 0, err
+	}
+	primary := func(ctx context.Context) (uint64, error) { return commit(ctx, SubmitPartition(id)) }
+	fallback := func(ctx context.Context) (uint64, error) { return commit(ctx, FallbackSubmitPartition(id)) }
+	viaOwner := func(ctx context.Context) (uint64, error) { return 0, storeViaOwner(ctx, unsettled.Load() > 0) }
 	r, err := rowstore.Race(ctx, rowstore.RaceOptions{HedgeDelay: hedgeDelay, GiveUpAfter: 3},
 		[]rowstore.Attempt{primary, viaOwner, fallback, viaOwner, primary})
 	switch {
@@ -51,11 +62,20 @@
 	return f(ctx)
 }
 
-// StoreJob stores an encoded job on behalf of another host. It is idempotent.
-func (f *Frontend) StoreJob(ctx context.Context, id string, value []byte) error {
+// StoreJob stores an encoded job on behalf of another host. It is idempotent. uncertain means that an attempt on another path may
+// store the job; then, and for a job of which this was said before, the error never matches rowstore.ErrUnavailable.
+func (f *Frontend) StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error {
+	if uncertain {
+		f.uncertain.add(id)
+	}
 	err := f.commitForPeer(ctx, func(partition string) rowstore.Txn { return jobTxn(partition, id, value) }, id)
-	if errors.Is(err, rowstore.ErrConflict) {
+	switch {
+	case errors.Is(err, rowstore.ErrConflict):
 		return nil
+	case errors.Is(err, rowstore.ErrUnavailable) && f.uncertain.has(id):
+		return errors.Wrap(rowstore.ErrAmbiguous, "an earlier attempt may have stored the job")
+	case errors.Is(err, rowstore.ErrAmbiguous):
+		f.uncertain.add(id)
 	}
 	return err
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -96,9 +96,12 @@
 }
 
 // StoreJob implements frontend.Owner.
-func (o *ownerClient) StoreJob(ctx context.Context, id string, value []byte) error {
+func (o *ownerClient) StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error {
+	if _, known, err := o.localCoordinator.JobStatus(ctx, id); err == nil && known {
+		return nil
+	}
 	return o.relay(func(c schedulev1connect.ScheduleServiceClient) error {
-		_, err := c.StoreJob(ctx, connect.NewRequest(&schedulev1.StoreJobRequest{Job: id, Value: value}))
+		_, err := c.StoreJob(ctx, connect.NewRequest(&schedulev1.StoreJobRequest{Job: id, Value: value, MaybeStored: uncertain}))
 		return err
 	})
 }
@@ -157,7 +160,10 @@
 
 // StoreJob implements ScheduleService.
 func (s *scheduleServer) StoreJob(ctx context.Context, r *connect.Request[schedulev1.StoreJobRequest]) (*connect.Response[schedulev1.StoreJobResponse], error) {
-	if err := s.frontend.StoreJob(ctx, r.Msg.Job, r.Msg.Value); err != nil {
+	if _, known, err := s.coordinator.JobStatus(ctx, r.Msg.Job); err == nil && known {
+		return connect.NewResponse(&schedulev1.StoreJobResponse{}), nil
+	}
+	if err := s.frontend.StoreJob(ctx, r.Msg.Job, r.Msg.Value, r.Msg.MaybeStored); err != nil {
 		return nil, storeRPCError(err)
 	}
 	return connect.NewResponse(&schedulev1.StoreJobResponse{}), nil
