Measure objectives from the first submission

Cause: after an outage of the store hundreds of rejected callers come back within a second, up to 3 s after they first asked, and inherited jobs count from the takeover. Ways: from the arrival, which stands; from the first submission that the owner has seen rejected, and for inherited jobs from the time of acceptance by the wall clock of the host, which orders only.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -87,8 +87,10 @@
 	// MayContinue reports whether this process may keep using the executors that it is in contact with, although its
 	// ownership may have ended.
 	MayContinue func() bool
-	Log         log.Interface
-	Metrics     *Metrics
+	// FirstSubmitted returns when a job was first submitted, on the clock of Now, if that was before it was accepted and is known.
+	FirstSubmitted func(job string) (time.Duration, bool)
+	Log            log.Interface
+	Metrics        *Metrics
 	// MachineDelay is how long after a predecessor's order for a machine a new owner waits before it orders that machine.
 	MachineDelay time.Duration
 	// Retention is how long finished jobs are kept, in memory and in the store.
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -55,7 +55,16 @@
 	}
 	if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("record of a job cannot be used; the job does not run")
+		return
+	}
+	submitted := now
+	if inherited {
+		submitted -= max(0, time.Duration(l.opts.WallMS()-job.AcceptedUnixMS)*time.Millisecond)
+	}
+	if first, ok := l.opts.FirstSubmitted(r.Name); ok {
+		submitted = min(submitted, first)
 	}
+	l.core.SetSubmitted(r.Name, submitted)
 }
 
 // addUnreadableJob tells the core of a job that is left out, if a former owner may have run its tasks.
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -260,7 +260,7 @@
 		Store: h.handle, Directory: testDirectory{}, Executors: hostClient{c.fleet, h}, Machines: c.machines,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, OwnsJobsUntil: func() time.Duration { return h.manager.OwnsJobsUntil() },
-		MayContinue: func() bool { return h.manager.MayContinue() }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
+		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Retention: time.Minute,
 	})
 	h.manager = ownership.New(ownership.Options{
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -128,8 +128,9 @@
 	Store Store
 	Owner Owner
 	Log   log.Interface
-	// WallMS returns the wall-clock time in Unix milliseconds.
+	// WallMS returns the wall-clock time in Unix milliseconds, Now the time on a clock that only moves forward.
 	WallMS func() int64
+	Now    func() time.Duration
 	// StoreResponsive reports whether the store has recently responded to this host. While it has not, this host does not
 	// write to the store itself: a rejection can then be sent at once, and holds because no write is in flight that may
 	// still be applied.
@@ -139,9 +140,10 @@
 
 // Frontend handles the requests of callers. It is safe for concurrent use.
 type Frontend struct {
-	opts      Options
-	config    atomic.Pointer[indexedConfiguration]
-	uncertain uncertainJobs
+	opts   Options
+	config atomic.Pointer[indexedConfiguration]
+	// submitted holds the submissions that this host, or another one that asked it to store them, did not accept.
+	submitted submissions
 }
 
 // indexedConfiguration is a configuration with an index of its API keys.
@@ -239,6 +241,7 @@
 }
 
 func (f *Frontend) submit(ctx context.Context, m *Match, job *workload.Job) Result {
+	start := f.opts.Now()
 	job.Route, job.Service, job.Policy, job.ConfigVersion = m.Name, m.Service, m.Policy, m.ConfigVersion
 	job.Organisation = m.Organisation
 	job.AcceptedUnixMS = f.opts.WallMS()
@@ -251,13 +254,13 @@
 		func(ctx context.Context, uncertain bool) error {
 			return f.opts.Owner.StoreJob(ctx, job.ID, value, uncertain)
 		})
-	switch {
-	case outcome == Unknown:
-		f.uncertain.add(job.ID)
-	case outcome == Unavailable && f.uncertain.has(job.ID):
+	if outcome == Unavailable && f.submitted.isUncertain(job.ID, f.opts.Now()) {
 		// An earlier attempt of the caller may still store the job.
 		outcome = Unknown
 	}
+	if outcome != OK {
+		f.submitted.record(job.ID, start, outcome == Unknown)
+	}
 	entry := f.opts.Log.WithFields(log.Fields{"job": job.ID, "queue": m.Name, "config": m.ConfigVersion, "tries": tries})
 	if err != nil {
 		entry = entry.WithError(err)
@@ -274,6 +277,13 @@
 	return Result{Unknown, retryAfter}
 }
 
+// FirstSubmitted returns when a job was first submitted, on the clock of Options.Now, if the frontend has seen a submission of it
+// that was not accepted.
+func (f *Frontend) FirstSubmitted(id string) (time.Duration, bool) {
+	x, ok := f.submitted.get(id, f.opts.Now())
+	return x.firstAt, ok
+}
+
 // Cancel requests the cancellation of a job, if the job exists.
 func (f *Frontend) Cancel(ctx context.Context, id string) Result {
 	start := time.Now()
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -63,11 +63,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	x := &fixture{store: rows.New()}
+	began := time.Now()
 	x.handle, x.owner = x.store.Handle(), &fakeOwner{handle: x.store.Handle()}
 	x.storeResponsive.Store(true)
 	x.frontend = New(Options{
 		Store: x.handle, Owner: x.owner, Log: &log.Logger{Handler: discard.New()},
-		WallMS: func() int64 { return 1 }, StoreResponsive: x.storeResponsive.Load,
+		WallMS: func() int64 { return 1 }, Now: func() time.Duration { return time.Since(began) }, StoreResponsive: x.storeResponsive.Load,
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	x.frontend.Configure(&workload.Configuration{Version: 3, Routes: []workload.Route{
--- a/frontend/store.go
+++ b/frontend/store.go
@@ -65,17 +65,14 @@
 // StoreJob stores an encoded job on behalf of another host. It is idempotent. uncertain means that an attempt on another path may
 // store the job; then, and for a job of which this was said before, the error never matches rowstore.ErrUnavailable.
 func (f *Frontend) StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error {
-	if uncertain {
-		f.uncertain.add(id)
-	}
+	now := f.opts.Now()
 	err := f.commitForPeer(ctx, func(partition string) rowstore.Txn { return jobTxn(partition, id, value) }, id)
-	switch {
-	case errors.Is(err, rowstore.ErrConflict):
+	if err == nil || errors.Is(err, rowstore.ErrConflict) {
 		return nil
-	case errors.Is(err, rowstore.ErrUnavailable) && f.uncertain.has(id):
+	}
+	f.submitted.record(id, now, uncertain || !errors.Is(err, rowstore.ErrUnavailable))
+	if errors.Is(err, rowstore.ErrUnavailable) && f.submitted.isUncertain(id, now) {
 		return errors.Wrap(rowstore.ErrAmbiguous, "an earlier attempt may have stored the job")
-	case errors.Is(err, rowstore.ErrAmbiguous):
-		f.uncertain.add(id)
 	}
 	return err
 }
--- /dev/null
+++ b/frontend/submissions.go
@@ -0,0 +1,68 @@
+package frontend
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// submissionTTL is how long a submission that was not accepted is remembered. Callers repeat it for some seconds.
+	submissionTTL = time.Minute
+	// maxSubmissions bounds the number of submissions that are remembered.
+	maxSubmissions = 50000
+)
+
+// submission is a job that was submitted without being accepted.
+type submission struct {
+	firstAt time.Duration
+	// uncertain is set if an attempt without a response may have stored the job, or may yet store it.
+	uncertain bool
+}
+
+// submissions remembers jobs that were submitted without being accepted, by ID.
+type submissions struct {
+	mu   sync.Mutex
+	byID map[string]submission
+}
+
+// record remembers a submission at a time. If there are too many, it forgets those that are too old, or else any.
+func (s *submissions) record(id string, now time.Duration, uncertain bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byID == nil {
+		s.byID = make(map[string]submission)
+	}
+	x, ok := s.byID[id]
+	if !ok || now-x.firstAt > submissionTTL {
+		x = submission{firstAt: now}
+		s.makeRoom(now)
+	}
+	x.uncertain = x.uncertain || uncertain
+	s.byID[id] = x
+}
+
+// makeRoom ensures that one more submission can be remembered; the caller holds the lock.
+func (s *submissions) makeRoom(now time.Duration) {
+	if len(s.byID) < maxSubmissions {
+		return
+	}
+	for id, x := range s.byID {
+		if now-x.firstAt > submissionTTL || len(s.byID) >= maxSubmissions {
+			delete(s.byID, id)
+		}
+	}
+}
+
+// get returns a submission, or false if none is remembered.
+func (s *submissions) get(id string, now time.Duration) (submission, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.byID[id]
+	return x, ok && now-x.firstAt <= submissionTTL
+}
+
+// isUncertain reports whether an earlier attempt may have stored a job.
+func (s *submissions) isUncertain(id string, now time.Duration) bool {
+	x, ok := s.get(id, now)
+	return ok && x.uncertain
+}
--- a/node/node.go
+++ b/node/node.go
@@ -103,9 +103,10 @@
 		Store: n.store, Directory: platform.Directory{}, Executors: platform.NewExecutors(),
 		Machines: platform.NewMachines(s.MachineAddress, func() bool { return n.manager.OwnsJobs() }), Holder: s.ID,
 		Now: elapsed.Now, WallMS: wallMS, OwnsJobs: func() bool { return n.manager.OwnsJobs() },
-		OwnsJobsUntil: func() time.Duration { return n.manager.OwnsJobsUntil() },
-		MayContinue:   func() bool { return n.manager.MayContinue() },
-		Log:           t.Log, Metrics: coordinator.NewMetrics(t.Registry),
+		OwnsJobsUntil:  func() time.Duration { return n.manager.OwnsJobsUntil() },
+		MayContinue:    func() bool { return n.manager.MayContinue() },
+		FirstSubmitted: func(job string) (time.Duration, bool) { return n.frontend.FirstSubmitted(job) },
+		Log:            t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
@@ -121,7 +122,7 @@
 	})
 	n.frontend = frontend.New(frontend.Options{
 		Store: n.store, Owner: owner,
-		Log: t.Log, WallMS: wallMS, StoreResponsive: n.storeResponsive,
+		Log: t.Log, WallMS: wallMS, Now: elapsed.Now, StoreResponsive: n.storeResponsive,
 		Metrics: frontend.NewMetrics(t.Registry),
 	})
 	return n
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -136,7 +136,7 @@
 		return nil
 	}
 	j := &job{
-		spec: spec, arrived: now, inherited: inherited, version: version,
+		spec: spec, arrived: now, submitted: now, inherited: inherited, version: version,
 		status: workload.StatusQueued, durableStatus: workload.StatusQueued,
 		occs: make(map[int]*occurrence), doneOccs: make(map[int]bool),
 	}
@@ -174,6 +174,14 @@
 	return nil
 }
 
+// SetSubmitted sets when a job was first submitted, if that was before it became known. Callers measure its objective from then.
+func (c *Core) SetSubmitted(id string, at time.Duration) {
+	if j := c.jobs[id]; j != nil {
+		j.submitted = min(j.arrived, at)
+		c.dirtyServices[j.service] = true
+	}
+}
+
 // occurrence returns occurrence k and creates its tasks on first use.
 func (j *job) occurrence(k int) *occurrence {
 	if o := j.occs[k]; o != nil {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -134,9 +134,9 @@
 		longest = max(longest, remaining)
 		aim = max(aim, objective(j.policy, total))
 	}
-	if r.class == classOnTime && j.spec.Recurrence == nil && now+longest > j.arrived+aim {
+	if r.class == classOnTime && j.spec.Recurrence == nil && now+longest > j.submitted+aim {
 		r.class = classLate
-		if now+longest > j.arrived+tooLateFactor*aim {
+		if now+longest > j.submitted+tooLateFactor*aim {
 			r.class = classTooLate
 		}
 	}
@@ -168,13 +168,13 @@
 	return remaining, total
 }
 
-// objective returns the time from the arrival of the job within which the occurrence should complete.
+// objective returns the time from the submission of the job within which the occurrence should complete.
 func (o *occurrence) objective() time.Duration {
 	_, total := o.criticalPaths()
 	return objective(o.job.policy, total)
 }
 
-// objective returns the time from its arrival within which a job should complete whose longest chain of dependent steps runs for
+// objective returns the time from its submission within which a job should complete whose longest chain of dependent steps runs for
 // longest.
 func objective(p workload.Policy, longest time.Duration) time.Duration {
 	return time.Duration(max(p.SlackFactor, 1)*float64(longest)) + p.Objective.Duration()
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -154,6 +154,8 @@
 	service string
 	policy  workload.Policy
 	arrived time.Duration
+	// submitted is when a caller first submitted the job, at the latest when it arrived.
+	submitted time.Duration
 	// inherited is set if the job was accepted before this owner took over. Its tasks may run on unreconciled executors.
 	inherited bool
 	// started is set once a task was started or had been started under an earlier owner.
@@ -182,7 +184,7 @@
 	finalAt time.Duration
 	// runtimes predicts the run times of its tasks.
 	runtimes *runtimeModel
-	// objective is how long after its arrival the job should complete, as far as run times were known at the last end of a task.
+	// objective is how long after its submission the job should complete, as far as run times were known at the last end of a task.
 	objective time.Duration
 	// waiting is set while the job has ready tasks, clockAtWaitStart is the reading of the service's waitClock when that
 	// began, and waited is the sum of the waits that have ended.
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -145,7 +145,7 @@
 // logFields returns the fields of the log line about the end of a job.
 func (j *job) logFields(now time.Duration) map[string]any {
 	fields := map[string]any{
-		"queue": j.spec.Route, "took_ms": (now - j.arrived).Milliseconds(), "objective_ms": j.objective.Milliseconds(),
+		"queue": j.spec.Route, "took_ms": (now - j.submitted).Milliseconds(), "objective_ms": j.objective.Milliseconds(),
 		"slowest_start_ms": j.slowestStart.Milliseconds(), "retries": j.retries, "inherited": j.inherited,
 	}
 	for i, cause := range waitCauses {
