Order jobs by urgency while the pool keeps up, else by work

Cause: least work first was chosen on sites with good estimates and full bursts. It leaves large jobs waiting although all could be on time once machines have come.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -60,6 +60,8 @@
 	organisations map[string]*organisation
 	// hasUnreadableJobs is set if inherited jobs are left out because their rows cannot be read.
 	hasUnreadableJobs bool
+	// ordersByUrgency chooses the order of the jobs of a service from their load.
+	ordersByUrgency func(queueLoad) bool
 	// runtimeModels predict the run times of the tasks of each queue.
 	runtimeModels map[string]*runtimeModel
 	// waitClocks count what the tasks of each service wait for. waited sums the ended waits of all jobs.
@@ -81,6 +83,7 @@
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
 		permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
+		ordersByUrgency: fitsInTime,
 	}
 }
 
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -9,15 +9,20 @@
 
 // jobRank is the order in which jobs of a service are placed when they need more than the pool holds. Jobs with long-running
 // tasks come first, because these have value all the time that they run; then jobs that can still meet their objective; then
-// late ones. Within a class and priority the job with the least work left comes first, so that as many jobs as possible
-// complete on time.
+// late ones. Within a class and priority the order depends on the load. While all waiting jobs can be on time, the most urgent
+// one comes first. When they cannot, the one that needs the least work comes first, so that as many as possible are on time:
+// by urgency, each would start when it is nearly too late.
 type jobRank struct {
 	class int
 	// priority is that of the policy; 0 comes first.
 	priority int
-	// work is the estimated work left, in thousandths of a core times milliseconds.
-	work int64
-	id   string
+	// key is the work of the job, or its slack; the lowest comes first.
+	key int64
+	id  string
+	// work is the expected work of tasks that are not placed, in thousandths of a core times milliseconds. slack is how long
+	// the job can wait and still meet its objective.
+	work  int64
+	slack time.Duration
 }
 
 // Classes of jobs, in the order in which they are placed.
@@ -44,8 +49,8 @@
 	if r.priority != o.priority {
 		return r.priority < o.priority
 	}
-	if r.work != o.work {
-		return r.work < o.work
+	if r.key != o.key {
+		return r.key < o.key
 	}
 	return r.id < o.id
 }
@@ -114,10 +119,58 @@
 		j.beginWait(c.waitClock(service))
 		q.jobs = append(q.jobs, waitingJob{j, rankOf(now, j)})
 	}
+	byUrgency := c.ordersByUrgency(q.load(c.capacity(now, service)))
+	for i := range q.jobs {
+		r := &q.jobs[i].jobRank
+		r.key = r.work
+		if byUrgency && r.class == classOnTime {
+			r.key = int64(r.slack)
+		}
+	}
 	heap.Init(q)
 	return q
 }
 
+// queueLoad is the load of the jobs of a service that wait and can be on time.
+type queueLoad struct {
+	// jobs is their number, work the sum of their work, in thousandths of a core times milliseconds, and slack the sum of
+	// their slacks.
+	jobs  int
+	work  int64
+	slack time.Duration
+	// capacity is the CPU of the executors that accept tasks, in thousandths of a core.
+	capacity int
+}
+
+// load returns the load of the queue at executors with a capacity.
+func (q *jobQueue) load(capacity int) queueLoad {
+	l := queueLoad{capacity: capacity}
+	for i := range q.jobs {
+		if r := &q.jobs[i].jobRank; r.class == classOnTime {
+			l.jobs++
+			l.work += r.work
+			l.slack += r.slack
+		}
+	}
+	return l
+}
+
+// fitsInTime reports whether the executors can do the work within the mean slack of the jobs.
+func fitsInTime(l queueLoad) bool {
+	return l.jobs == 0 || float64(l.work)/float64(max(l.capacity, 1)) <= float64(l.slack.Milliseconds())/float64(l.jobs)
+}
+
+// capacity returns the CPU of the executors of a service that accept tasks, in thousandths of a core.
+func (c *Core) capacity(now time.Duration, service string) int {
+	sum := 0
+	for _, e := range c.members[service] {
+		if e.acceptsTasks(now) {
+			sum += e.info.Capacity.CPUMilli
+		}
+	}
+	return sum
+}
+
 // rankOf returns the rank of a job at a time. A job counts as late if its longest chain of remaining steps, run without waits,
 // is expected to end after its objective.
 func rankOf(now time.Duration, j *job) jobRank {
@@ -128,12 +181,13 @@
 			if s.spec.LongRunning {
 				r.class = classLongRunning
 			}
-			r.work += int64(s.remaining) * int64(s.spec.Size.CPUMilli) * s.runtime().Milliseconds()
+			r.work += int64(s.pending) * int64(s.spec.Size.CPUMilli) * s.runtime().Milliseconds()
 		}
 		remaining, total := o.criticalPaths()
 		longest = max(longest, remaining)
 		aim = max(aim, objective(j.policy, total))
 	}
+	r.slack = j.submitted + aim - now - longest
 	if r.class == classOnTime && j.spec.Recurrence == nil && now+longest > j.submitted+aim {
 		r.class = classLate
 		if now+longest > j.submitted+tooLateFactor*aim {
--- a/scheduler/runtimes_test.go
+++ b/scheduler/runtimes_test.go
@@ -56,12 +56,25 @@
 	assert.Assert(t, predicted > 1200*time.Millisecond && predicted < 1800*time.Millisecond, predicted)
 }
 
-// burstOfWrongEstimates plays a burst of a queue with more work than its executors can do, whose estimates are off by a factor
-// of 2.5 in the middle, and returns how many jobs are on time.
-func burstOfWrongEstimates(t *testing.T, seed uint64, learn bool) int {
-	const arrivalInterval, step = 50 * time.Millisecond, 50 * time.Millisecond
-	h := newHarness(t, 5)
-	r := rand.New(rand.NewPCG(seed, 0))
+// burst is a queue that gets more jobs for some seconds than its executors can do, or nearly. Its estimates are off by a factor
+// of 2.5 in the middle.
+type burst struct {
+	seed      uint64
+	executors int
+	// estimatesOnly keeps the core from learning run times.
+	estimatesOnly bool
+	// order replaces the choice of the order of jobs.
+	order func(queueLoad) bool
+}
+
+// play returns how many of the 240 jobs of the burst are on time.
+func (b burst) play(t *testing.T) int {
+	const step = 50 * time.Millisecond
+	h := newHarness(t, b.executors)
+	if b.order != nil {
+		h.core.ordersByUrgency = b.order
+	}
+	r := rand.New(rand.NewPCG(b.seed, 0))
 	took, limits, ends := make(map[string]time.Duration), make(map[string]time.Duration), make(map[workload.TaskID]time.Duration)
 	started, onTime := 0, 0
 	for n := 0; h.now < 16*time.Second; n++ {
@@ -72,7 +85,7 @@
 			estimate := workload.Millis(logNormal(r, took[id]*2/3, 0.9).Milliseconds())
 			h.submit(id, workload.Step{Count: 1 + r.IntN(12), Size: workload.Resources{CPUMilli: 500}, Estimate: estimate})
 		}
-		if !learn {
+		if b.estimatesOnly {
 			clear(h.core.runtimeModels)
 		}
 		for _, s := range h.starts[started:] {
@@ -100,9 +113,33 @@
 func TestJobsWithWrongEstimatesAreOnTimeInABurst(t *testing.T) {
 	learnt, asTheyAre := 0, 0
 	for seed := range uint64(4) {
-		learnt += burstOfWrongEstimates(t, seed, true)
-		asTheyAre += burstOfWrongEstimates(t, seed, false)
+		learnt += burst{seed: seed, executors: 5}.play(t)
+		asTheyAre += burst{seed: seed, executors: 5, estimatesOnly: true}.play(t)
 	}
 	t.Logf("%d jobs on time, %d with estimates as they are", learnt, asTheyAre)
 	assert.Assert(t, learnt > asTheyAre)
 }
+
+// Replays bursts that a pool can nearly serve and bursts far beyond its capacity. Guards against an order that wins in one of them
+// only: by urgency, an overloaded pool starts each job when it is nearly too late; by work, large jobs miss their objective
+// although there is room for all.
+func TestOrderFitsTheLoad(t *testing.T) {
+	byUrgency, byWork := func(queueLoad) bool { return true }, func(queueLoad) bool { return false }
+	for name, test := range map[string]struct {
+		executors int
+		worse     func(queueLoad) bool
+	}{
+		"nearly served": {11, byWork},
+		"overloaded":    {5, byUrgency},
+	} {
+		t.Run(name, func(t *testing.T) {
+			adaptive, fixed := 0, 0
+			for seed := range uint64(4) {
+				adaptive += burst{seed: seed, executors: test.executors}.play(t)
+				fixed += burst{seed: seed, executors: test.executors, order: test.worse}.play(t)
+			}
+			t.Logf("%d jobs on time, %d in a fixed order", adaptive, fixed)
+			assert.Assert(t, adaptive > fixed)
+		})
+	}
+}
