Write logs in whole lines, and say what a report of waits has not seen

One write held up to 64 KB, and the pipe that all processes share took some 8 KB of it before another process wrote. Ruled out: lines longer than a pipe takes at once (the longest has 644 bytes). Change: a write holds whole lines and at most 4,096 bytes, which a pipe takes as a whole. 'tamarack waits' counts the lines that it cannot read and sums what processes said that they dropped.

--- a/operator/waits/report.go
+++ b/operator/waits/report.go
@@ -36,7 +36,7 @@
 		windows[index].add(j)
 		queues[j.queue].add(j)
 	}
-	report := &Report{Orders: r.orders, Skipped: r.skipped}
+	report := &Report{Orders: r.orders, Skipped: r.skipped, Dropped: r.dropped}
 	for _, index := range slices.Sorted(maps.Keys(windows)) {
 		report.Windows = append(report.Windows, Window{begin.Add(time.Duration(index) * opts.Window), *windows[index]})
 	}
@@ -125,6 +125,7 @@
 	}
 	fmt.Fprintf(out, "\nmoves: %d out of standby, %d back, %d of them reversed within %s; %d between pools; %d upkeeps\n",
 		r.Orders.FromStandby, r.Orders.ToStandby, r.Orders.Reversed, MaxReversalTime, r.Orders.BetweenPools, r.Orders.Maintenance)
+	fmt.Fprintf(out, "not seen: %d lines that cannot be read, %d that were dropped\n", r.Skipped, r.Dropped)
 	return out.Flush()
 }
 
--- a/operator/waits/waits.go
+++ b/operator/waits/waits.go
@@ -40,8 +40,10 @@
 	Queues  []JobStats    `json:"queues"`
 	Orders  MachineOrders `json:"moves"`
 	Pools   []PoolUsage   `json:"pools"`
-	// Skipped counts the lines that are neither empty nor log lines.
+	// Skipped counts the lines that are neither empty nor log lines, for example because they are cut. Dropped sums the lines that
+	// processes did not write because too many were waiting.
 	Skipped int `json:"skipped"`
+	Dropped int `json:"dropped"`
 }
 
 // Window sums the jobs that were accepted or rejected within Options.Window from Start on.
@@ -145,6 +147,7 @@
 type logReader struct {
 	lines   []logLine
 	skipped int
+	dropped int
 	jobs    map[string]*job
 	orders  MachineOrders
 	// sentToStandbyAt holds the time at which each machine was sent to standby, until it is moved elsewhere.
@@ -164,7 +167,10 @@
 	"job rejected, it cannot be stored": true,
 }
 
-// parseLine keeps a line if it is relevant, and counts it as skipped if it is no log line.
+// droppedMessage is the message of the lines that say how many lines a process dropped.
+const droppedMessage = "log lines dropped"
+
+// parseLine keeps a line if it is relevant, and counts it as skipped if it is no log line. A line about dropped ones has no time.
 func (r *logReader) parseLine(text []byte) {
 	if len(bytes.TrimSpace(text)) == 0 {
 		return
@@ -179,7 +185,10 @@
 		r.skipped++
 		return
 	}
-	if relevantMessages[l.Message] {
+	switch {
+	case l.Message == droppedMessage:
+		r.dropped += int(l.intField("count"))
+	case relevantMessages[l.Message]:
 		r.lines = append(r.lines, l)
 	}
 }
--- a/operator/waits/waits_test.go
+++ b/operator/waits/waits_test.go
@@ -23,6 +23,7 @@
   2.6 host-b {"fields":{"job":"j3","queue":"q"},"level":"warn","timestamp":"2026-01-01T00:00:02.6Z","message":"job rejected, it cannot be stored"}
   3.0 host-a {"fields":{"subject":"j2","took_ms":2800,"objective_ms":1000,"wait_machine_ms":1500},"level":"info","timestamp":"2026-01-01T00:00:03Z","message":"job completed"}
 no log line
+  3.1 host-b {"level":"warn","message":"log lines dropped","fields":{"count":4}}
 `
 
 // Guards against a report that lacks the cause of a late job, counts a job in the wrong window, or does not count a move out of
@@ -43,6 +44,7 @@
 	var table bytes.Buffer
 	assert.NilError(t, r.WriteTable(&table))
 	assert.Assert(t, strings.Contains(table.String(), "machine s"))
+	assert.Assert(t, strings.Contains(table.String(), "not seen: 1 lines that cannot be read, 4 that were dropped"))
 }
 
 // Guards against an empty report, instead of an error, for files that are no logs.
--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -46,41 +46,51 @@
 	defer close(a.done)
 	dropReport := time.NewTicker(dropReportInterval)
 	defer dropReport.Stop()
-	var batch []byte
 	for {
 		select {
 		case line := <-a.lines:
-			batch = a.appendPending(append(batch[:0], line...))
-			// If standard output fails, there is nowhere to report it.
-			_, _ = w.Write(batch)
+			a.writePending(w, line)
 		case <-dropReport.C:
 			if n := a.dropped.Swap(0); n > 0 {
 				_, _ = fmt.Fprintf(w, `{"level":"warn","message":"log lines dropped","fields":{"count":%d}}`+"\n", n)
 			}
 		case <-a.stop:
-			_, _ = w.Write(a.appendPending(nil))
+			a.writePending(w, nil)
 			return
 		}
 	}
 }
 
-// maxWriteBytes is the size of the batch from which no more lines are added to one write.
-const maxWriteBytes = 64 << 10
+const (
+	// maxWriteBytes bounds one write, unless a line is longer. A pipe takes a write of up to 4096 bytes (PIPE_BUF) as a whole, so
+	// that lines of several processes on one pipe do not mix.
+	maxWriteBytes = 4096
+	// maxPendingBytes bounds what writePending writes.
+	maxPendingBytes = 64 << 10
+)
 
-// appendPending appends buffered lines to batch and does not wait for more.
-func (a *asyncWriter) appendPending(batch []byte) []byte {
-	for len(batch) < maxWriteBytes {
+// writePending writes a line and up to maxPendingBytes of the buffered ones, several whole lines at a time. It does not wait for
+// more. If standard output fails, there is nowhere to report it.
+func (a *asyncWriter) writePending(w io.Writer, line []byte) {
+	batch := line
+	for written := 0; written < maxPendingBytes; {
 		select {
 		case line := <-a.lines:
+			if len(batch)+len(line) > maxWriteBytes {
+				_, _ = w.Write(batch)
+				written += len(batch)
+				batch = batch[:0]
+			}
 			batch = append(batch, line...)
 		default:
-			return batch
+			_, _ = w.Write(batch)
+			return
 		}
 	}
-	return batch
+	_, _ = w.Write(batch)
 }
 
-// close writes up to maxWriteBytes of the buffered lines and stops the writer.
+// close writes up to maxPendingBytes of the buffered lines and stops the writer.
 func (a *asyncWriter) close() {
 	close(a.stop)
 	<-a.done
