--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -62,11 +62,18 @@
 func (h *harness) submit(id string, steps ...workload.Step) { h.submitFor("", id, steps...) }
 
 func (h *harness) submitFor(organisation, id string, steps ...workload.Step) {
+	h.addJobFor(organisation, id, steps...)
+	h.runCommands()
+}
+
+// addJob adds a job without scheduling it.
+func (h *harness) addJob(id string, steps ...workload.Step) { h.addJobFor("", id, steps...) }
+
+func (h *harness) addJobFor(organisation, id string, steps ...workload.Step) {
 	err := h.core.AddJob(h.now, &workload.Job{
 		ID: id, Route: "queue", Service: service, ConfigVersion: 1, Steps: steps, Organisation: organisation,
 	}, nil, 0, false)
 	assert.NilError(h.t, err)
-	h.runCommands()
 }
 
 // runCommands schedules and carries commands out until there are none.
