Keep the first submission of a job whose row is read again

Cause: found on reading: a feed that reads its table again offers known jobs anew, which made them fresh. Ruled out: jobs that are added twice; the core ignores them. Change: the earliest submission counts. Tests for it, for executors that yield and for the choice of yielding machines. Before: TestTheFirstSubmissionCounts fails. After: passes.

--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -280,3 +280,29 @@
 	assert.Equal(t, len(actions), 1)
 	assert.Equal(t, actions[0].Machine, "b0")
 }
+
+// Replays the burst of one queue while another pool works off late jobs of the burst before. Guards against late work that keeps
+// all machines, and against machines that yield in turn instead of becoming idle.
+func TestLateWorkYieldsMachinesToABurst(t *testing.T) {
+	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Waiting: 10000}, {Name: "b", Late: 90000}, {Name: "off", Standby: true}}}
+	s.Machines = append(s.Machines, machine("a0", "a", 4))
+	s.Machines[0].FreeCPU = 0
+	for i := range 6 {
+		m := machine(fmt.Sprint("b", i), "b", 3+i%3)
+		m.FreeCPU, m.FiniteCPU = 0, 16000
+		s.Machines = append(s.Machines, m)
+	}
+	plan := PlanMoves(s, NewArrivals())
+	assert.Equal(t, len(plan.Actions), 0)
+	// 10 core-seconds within 0.35 s need 1.8 machines.
+	assert.DeepEqual(t, plan.Yielding, []string{"b0", "b3"})
+	for i := range s.Machines {
+		s.Machines[i].Yielding = slices.Contains(plan.Yielding, s.Machines[i].ID)
+		s.Machines[i].Tasks = 9 - s.Machines[i].Tasks
+	}
+	assert.DeepEqual(t, PlanMoves(s, NewArrivals()).Yielding, plan.Yielding)
+	s.Machines[1].Tasks, s.Machines[1].FreeCPU, s.Machines[1].FiniteCPU, s.Machines[1].IdleFor = 0, 16000, 0, time.Second
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 1})
+	s.Pools[1] = Pool{Name: "b", Waiting: 90000}
+	assert.Equal(t, len(PlanMoves(s, NewArrivals()).Yielding), 0, "the pool needs its machines itself")
+}
--- a/scheduler/burst_test.go
+++ b/scheduler/burst_test.go
@@ -113,6 +113,35 @@
 	assert.Assert(t, adaptive > urgency)
 }
 
+// Guards against a job that counts as fresh again because its row is read again.
+func TestTheFirstSubmissionCounts(t *testing.T) {
+	h := newHarness(t, 0)
+	h.now = 10 * time.Second
+	h.submit("j", batchStep(1, 1000))
+	h.core.SetSubmitted("j", h.now-3*time.Second)
+	h.core.SetSubmitted("j", h.now)
+	assert.Equal(t, rankOf(h.now, h.core.jobs["j"]).class, classLate)
+}
+
+// Guards against late jobs that keep an executor busy whose machine another pool needs, and against jobs on time that wait
+// although only such an executor has room.
+func TestYieldingExecutorsGetNoLateTasks(t *testing.T) {
+	h := newHarness(t, 2)
+	h.now = 10 * time.Second
+	h.core.SetYielding(map[string]bool{"x0": true})
+	h.addJob("late", batchStep(6, 1000))
+	h.core.SetSubmitted("late", h.now-3*time.Second)
+	h.addJob("fresh", batchStep(2, 1000))
+	h.runCommands()
+	assert.Equal(t, len(h.running["x0"]), 0)
+	assert.Equal(t, len(h.running["x1"]), 4)
+	h.submit("more", batchStep(2, 1000))
+	assert.Equal(t, len(h.running["x0"]), 2)
+	h.core.SetYielding(nil)
+	h.runCommands()
+	assert.Equal(t, len(h.running["x0"]), 4)
+}
+
 // Replays the seconds after an outage of the store: callers that were rejected come back at once, beside fresh jobs. Guards
 // against jobs that are late by then but count as fresh, and make those late that are.
 func TestFreshJobsComeBeforeThoseLateAfterAnOutage(t *testing.T) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -177,10 +177,10 @@
 	return nil
 }
 
-// SetSubmitted sets when a job was first submitted, if that was before it became known. Callers measure its objective from then.
+// SetSubmitted records that a job was submitted at a time. The first submission counts; callers measure the objective from it.
 func (c *Core) SetSubmitted(id string, at time.Duration) {
 	if j := c.jobs[id]; j != nil {
-		j.submitted = min(j.arrived, at)
+		j.submitted = min(j.submitted, at)
 		c.dirtyServices[j.service] = true
 	}
 }
