Hold back inherited tasks of a queue that has moved to another service

Cause: found on reading. After a takeover, tasks of inherited jobs wait for executors of their service that have not reported. A queue may have moved to the service since its tasks started on executors of another one; they were not waited for, so a task could run twice. Ruled out: executors whose record names their tasks; these are checked by task. Change: an inherited job that was accepted for another service waits for all executors that have not reported. Before: TestInheritedTasksWaitForTheServiceThatTheirQueueHasLeft fails (1 start while the former executor may run the task). After: passes. Left: a queue that moves away and back between two takeovers (docs/platform.md).

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -349,6 +349,22 @@
 	assert.Equal(t, len(h.starts), 2)
 }
 
+// Guards against a task that runs twice: its queue has moved to another service since it started, and a new owner does not know yet
+// what the executors of the former service run.
+func TestInheritedTasksWaitForTheServiceThatTheirQueueHasLeft(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.PutExecutor(h.now, workload.Executor{ID: "old", Service: "former", Capacity: size, Kind: "a", Rack: "r"})
+	h.core.AddUnreconciled(h.now, "old", "former", nil)
+	assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
+		ID: "j", Route: "queue", Service: "former", ConfigVersion: 0, Steps: []workload.Step{batchStep(1, 1000)},
+	}, nil, 0, true))
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 0)
+	h.core.ExpireLeases(h.now, "old")
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 1)
+}
+
 // Guards against progress that is lost when a record is stored and restored.
 func TestRecordsRestoreProgress(t *testing.T) {
 	h := newHarness(t, 2)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -83,6 +83,16 @@
 	return true
 }
 
+// allReconciled reports the same for all services.
+func (c *Core) allReconciled() bool {
+	for _, s := range c.unreconciled {
+		if s.tasks == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // mayRunElsewhere reports whether a task is among the known tasks that an unreconciled executor may run.
 func (c *Core) mayRunElsewhere(id workload.TaskID) bool {
 	for _, s := range c.unreconciled {
