Do not end executors that the list of machines names

When a confirmation of a move is handled after a list was requested, the owner expects the machine to be under way and drops the executor that the list names; without contact it then counted as ended, its tasks were started elsewhere, and its own ends arrived later. Change: an executor counts as ended only if the list itself does not name it. Before: TestExecutorsOfMachinesWhoseMoveWasJustConfirmedGoOn fails (the executor is dropped). After: passes.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -251,6 +251,10 @@
 			m.listedAt = now
 			return
 		}
+		listed := make(map[string]bool, len(e.list))
+		for _, machine := range e.list {
+			listed[machine.Executor] = true
+		}
 		m.setList(e.list, e.sentAt)
 		for i := range m.list {
 			if at, ok := m.confirmedAt[m.list[i].ID]; ok && e.sentAt < at {
@@ -259,7 +263,7 @@
 			}
 			l.verifyOrder(now, m.list[i])
 		}
-		l.endUnlistedExecutors(now, e.sentAt)
+		l.endUnlistedExecutors(now, e.sentAt, listed)
 		return
 	}
 	delete(m.pendingOrders, e.action.Machine)
--- a/coordinator/machines_test.go
+++ b/coordinator/machines_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/workload"
 )
 
 // Guards against a new owner that delays orders for machines which its predecessor ordered long ago, or that orders a machine
@@ -16,3 +18,21 @@
 	assert.Assert(t, m.blockedUntil["old"] <= now)
 	assert.Assert(t, m.blockedUntil["new"] >= now+delay-500*time.Millisecond)
 }
+
+// Replays an owner that is short of processor time: it learns that a move was confirmed only after it has asked for a list that shows
+// the move's effect. Guards against taking the executor that joined the new pool for one that has ended, after which its tasks
+// run twice.
+func TestExecutorsOfMachinesWhoseMoveWasJustConfirmedGoOn(t *testing.T) {
+	now := 10 * time.Second
+	l := newTestLeadership(t.Context(), func() time.Duration { return now })
+	list := []workload.Machine{{ID: "m", Pool: "b", State: workload.MachineUp, Executor: "new"}}
+	l.core.PutExecutor(5*time.Second, workload.Executor{ID: "new", Service: "b"})
+	l.executorRecords["new"] = executorRecord{Address: "a", Service: "b"}
+	l.machines.confirmedAt["m"] = now
+	l.handleMachineEvent(now, machineEvent{isList: true, list: list, sentAt: now - time.Second})
+	_, known := l.executorRecords["new"]
+	assert.Assert(t, known, "a list names the executor")
+	l.handleMachineEvent(now, machineEvent{isList: true, list: nil, sentAt: now - time.Second})
+	_, known = l.executorRecords["new"]
+	assert.Assert(t, !known, "no list names it")
+}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -113,12 +113,9 @@
 const listMargin = 500 * time.Millisecond
 
 // endUnlistedExecutors ends executors that do not respond and that no listed machine runs. An executor that is only
-// unreachable stays listed; the tasks of the others can start elsewhere before their leases expire.
-func (l *leadership) endUnlistedExecutors(now, sentAt time.Duration) {
-	listed := make(map[string]bool, len(l.machines.list))
-	for _, m := range l.machines.list {
-		listed[m.Executor] = true
-	}
+// unreachable stays listed; the tasks of the others can start elsewhere before their leases expire. listed holds the executors that
+// the list names, also those of machines for which the owner expects another one.
+func (l *leadership) endUnlistedExecutors(now, sentAt time.Duration, listed map[string]bool) {
 	for _, id := range l.machines.unverified {
 		listed[id] = true
 	}
