--- a/feed/feed.go
+++ b/feed/feed.go
@@ -28,6 +28,8 @@
 	// maxPageTries is the maximum number of attempts to read a page. The time-out doubles with each one, because the last response
 	// may have been lost, or may be too large for a host with little processor time.
 	maxPageTries = 4
+	// probesPerLogLine is the number of failed probes for which one line is logged.
+	probesPerLogLine = 10
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	// maxPageRows is the maximum number of rows of a page.
@@ -58,6 +60,11 @@
 	Log  log.Interface
 	// Deliver receives the batches one after another.
 	Deliver func(Batch)
+	// Confirm is called after each successful read, once its rows are delivered: all changes before asOf, on the clock of Now,
+	// have been. It may be nil.
+	Confirm func(asOf time.Duration)
+	// Now is the clock of Confirm.
+	Now func() time.Duration
 }
 
 // Follow delivers the whole table and then its changes in order, until ctx ends. It delivers the whole table again when the
@@ -68,18 +75,25 @@
 	}
 	var after uint64
 	full, lost := true, false
+	var lostAt time.Time
 	for ctx.Err() == nil {
+		asOf := o.now()
 		batch, version, err := readNext(ctx, o, full, lost, after)
 		switch {
 		case err == nil:
 			if lost {
 				lost = false
-				o.Log.WithFields(log.Fields{"table": o.Table, "version": version}).Info("feed regained")
+				o.Log.WithFields(log.Fields{
+					"table": o.Table, "version": version, "after": after, "rows": len(batch.Rows), "lost_ms": time.Since(lostAt).Milliseconds(),
+				}).Info("feed regained")
 			}
 			full, after = false, version
 			if batch.Full || len(batch.Rows) > 0 {
 				o.Deliver(batch)
 			}
+			if o.Confirm != nil {
+				o.Confirm(asOf)
+			}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -88,13 +102,21 @@
 			full = true
 			continue
 		case !lost:
-			lost = true
+			lost, lostAt = true, time.Now()
 			o.Log.WithError(err).WithFields(log.Fields{"table": o.Table, "version": after}).Warn("feed lost")
 		}
 		elapsed.Sleep(ctx, retryPause)
 	}
 }
 
+// now returns the time on the clock of Options.Now, or 0 without one.
+func (o *Options) now() time.Duration {
+	if o.Now == nil {
+		return 0
+	}
+	return o.Now()
+}
+
 // readNext reads the next batch, which is all rows if full is set, else the changes after a version, and returns its version.
 // lost is set if the last read failed.
 func readNext(ctx context.Context, o Options, full, lost bool, after uint64) (Batch, uint64, error) {
@@ -137,6 +159,7 @@
 	}
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
+	failed := 0
 	go probe()
 	for {
 		select {
@@ -144,6 +167,9 @@
 			if r.err == nil || errors.Is(r.err, rowstore.ErrHistoryGone) {
 				return r.page, r.err
 			}
+			if failed++; failed%probesPerLogLine == 0 {
+				o.Log.WithError(r.err).WithFields(log.Fields{"table": o.Table, "version": after, "probes": failed}).Warn("feed is still lost")
+			}
 		case <-ticker.C:
 			go probe()
 		case <-ctx.Done():
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -142,6 +142,8 @@
 type Frontend struct {
 	opts   Options
 	config atomic.Pointer[indexedConfiguration]
+	// configConfirmedAt is the time, on the clock of Options.Now, up to which config is known to be the newest configuration.
+	configConfirmedAt atomic.Int64
 	// submitted holds the submissions that this host, or another one that asked it to store them, did not accept.
 	submitted submissions
 }
@@ -197,6 +199,14 @@
 	}
 }
 
+// ConfirmConfiguration records that no configuration newer than the current one existed at asOf, on the clock of Options.Now.
+func (f *Frontend) ConfirmConfiguration(asOf time.Duration) { f.configConfirmedAt.Store(int64(asOf)) }
+
+// configurationAge returns for how long the current configuration may no longer have been the newest one.
+func (f *Frontend) configurationAge() time.Duration {
+	return f.opts.Now() - time.Duration(f.configConfirmedAt.Load())
+}
+
 // Configured reports whether a configuration is in effect.
 func (f *Frontend) Configured() bool { return f.config.Load() != nil }
 
@@ -214,13 +224,16 @@
 			best = r
 		}
 	}
+	age := f.configurationAge()
+	f.opts.Metrics.observeConfigurationAge(age)
+	refusal := f.opts.Log.WithFields(log.Fields{"config": config.Version, "config_age_ms": age.Milliseconds()})
 	if best == nil {
+		refusal.WithFields(log.Fields{"host": host, "path": path}).Info("request rejected: no route matches in the current configuration")
 		return nil, "", f.rejectUnmatched(NoRoute)
 	}
 	organisation, ok := config.authenticate(best, key)
 	if !ok {
-		f.opts.Log.WithFields(log.Fields{"queue": best.Name, "config": config.Version}).
-			Info("request rejected: API key is not valid in the current configuration")
+		refusal.WithField("queue", best.Name).Info("request rejected: API key is not valid in the current configuration")
 		return nil, "", f.rejectUnmatched(NoKey)
 	}
 	return &Match{*best, config.Version, config.MaxBodyBytes, organisation}, path[len(best.Prefix):], Result{}
--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -10,6 +10,8 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
+	// configAge is the age of the configuration that requests were matched against.
+	configAge prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with r.
@@ -22,8 +24,12 @@
 			Name: "tamarack_request_seconds", Help: "Time to answer requests of callers by kind.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2.5, 9),
 		}, []string{"kind"}),
+		configAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "tamarack_match_config_age_seconds", Help: "Time since the configuration that a request was matched against was last known to be the newest.",
+			Buckets: prometheus.ExponentialBuckets(0.25, 2, 8),
+		}),
 	}
-	r.MustRegister(m.requests, m.duration)
+	r.MustRegister(m.requests, m.duration, m.configAge)
 	return m
 }
 
@@ -33,6 +39,9 @@
 	m.duration.WithLabelValues(kind).Observe(latency.Seconds())
 }
 
+// observeConfigurationAge records the age of the configuration that a request is matched against.
+func (m *Metrics) observeConfigurationAge(age time.Duration) { m.configAge.Observe(age.Seconds()) }
+
 // countUnmatched records one request that matched no route or had no valid key.
 func (m *Metrics) countUnmatched(o Outcome) { m.requests.WithLabelValues("match", o.String()).Inc() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -139,6 +139,7 @@
 	n.cancel = cancel
 	go feed.Follow(ctx, feed.Options{
 		Store: n.store, Table: platform.OperatorTable, Log: n.log, Deliver: n.applyOperatorRows,
+		Confirm: n.frontend.ConfirmConfiguration, Now: elapsed.Now,
 	})
 	go func() {
 		defer close(n.done)
