Show feeds that never catch up on a narrow link

What callers saw: 404 as an older configuration says, and starts that failed, on a host with a link of 10 Mbit/s that had become the owner. Cause, as the test shows: a read has a time-out for its whole response. One that takes longer is given up while it arrives and sent again, up to five beside each other for each feed, which fill the link. What is missed grows meanwhile, so no later read fits either; the feed recovers only when the store no longer keeps the history. Change: the store of the tests gets links of limited speed, which responses share.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,3 +118,54 @@
 		}
 	}
 }
+
+// After a cut, a host with a narrow link must catch up although a response then takes longer than any wait for the store: reads
+// that are given up while they arrive, and sent again beside each other, fill the link so that no feed of the host ever recovers.
+func TestFeedsCatchUpOnANarrowLink(t *testing.T) {
+	const (
+		linkBytesPerSecond = 1_250_000
+		configBytes        = 40 << 10
+		jobBytes           = 2 << 10
+		// maxConfigDelay is the time within which a configuration has to be in force.
+		maxConfigDelay = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := rows.New()
+		handle := store.Handle()
+		handle.SetLink(linkBytesPerSecond)
+		var config atomic.Uint64
+		var jobs atomic.Int64
+		follow := func(table string, deliver func(feed.Batch)) {
+			go feed.Follow(ctx, feed.Options{Store: handle, Table: table, Log: &log.Logger{Handler: discard.Default}, Deliver: deliver})
+		}
+		// The owner follows the configuration twice, and the jobs.
+		for range 2 {
+			follow("config", func(b feed.Batch) {
+				for _, r := range b.Rows {
+					config.Store(r.Version)
+				}
+			})
+		}
+		follow("jobs", func(b feed.Batch) { jobs.Add(int64(len(b.Rows))) })
+		time.Sleep(time.Second)
+		handle.SetFault(func(bool) rows.Fault { return rows.DropCall })
+		for n := range 1600 {
+			time.Sleep(5 * time.Millisecond)
+			store.Put(rowstore.Key{Table: "jobs", Name: fmt.Sprint(n)}, make([]byte, jobBytes))
+			if n%100 == 0 {
+				store.Put(rowstore.Key{Table: "config", Name: "config"}, make([]byte, configBytes))
+			}
+		}
+		newest, _ := store.Get(rowstore.Key{Table: "config", Name: "config"})
+		handle.SetFault(nil)
+		time.Sleep(maxConfigDelay)
+		assert.Check(t, config.Load() >= newest.Version, "the configuration is at version %d of %d", config.Load(), newest.Version)
+		// Twice the time that the link needs for all responses.
+		time.Sleep(6 * time.Second)
+		assert.Check(t, jobs.Load() >= 1600, "%d jobs of 1600", jobs.Load())
+		cancel()
+		// Time for the calls under way to end.
+		time.Sleep(time.Minute)
+	})
+}
--- a/standin/rows/rows.go
+++ b/standin/rows/rows.go
@@ -57,6 +57,8 @@
 	mu sync.Mutex
 	// fault returns the fault of the next call; nil means no faults.
 	fault func(write bool) Fault
+	// link carries the responses to reads; nil means that they take no time.
+	link *link
 }
 
 // Fault is a failure injected into a call.
@@ -291,10 +293,15 @@
 	if h.s.isDown(r.Partition) {
 		return rowstore.Page{}, rowstore.ErrUnavailable
 	}
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	page := rowstore.Page{Version: h.s.version}
-	for k, row := range h.s.rows {
+	page := h.s.read(r)
+	return page, h.receive(ctx, page)
+}
+
+func (s *Store) read(r rowstore.Range) rowstore.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := rowstore.Page{Version: s.version}
+	for k, row := range s.rows {
 		if k.Table == r.Table && k.Partition == r.Partition && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
 			page.Rows = append(page.Rows, row)
 		}
@@ -303,7 +310,7 @@
 	if r.Limit > 0 && len(page.Rows) > r.Limit {
 		page.Rows, page.More = page.Rows[:r.Limit], true
 	}
-	return page, nil
+	return page
 }
 
 // applyReadFault applies the next fault to a read. Without a response it waits until ctx ends.
@@ -329,9 +336,12 @@
 	defer limit.Stop()
 	for {
 		page, changed, err := h.s.changes(table, after)
-		if err != nil || len(page.Rows) > 0 {
+		if err != nil {
 			return page, err
 		}
+		if len(page.Rows) > 0 {
+			return page, h.receive(ctx, page)
+		}
 		select {
 		case <-changed:
 		case <-limit.C:
