Bound reads of feeds by silence instead of by their whole time

Cause: a read had a time-out for its whole response. Responses that took longer were given up while they arrived and sent again, up to five beside each other for each of five feeds, and a new owner read 64 partitions of two tables at once, so that its link was full of parts nobody used: renewals, new connections and the configuration did not get through. It ended when the store no longer kept the history of 20 s. Ruled out: longer time-outs. A response of the missed changes grows with the time that they are missed, and a silent connection would be noticed later. Limiting the store client's connections: at a slow store, partitions must be read in parallel. Change: rowstore.Silence bounds the time to the first part of a response and between parts. Once a probe receives its response, the others end. Partitions are read six at a time; the number doubles each 0.1 s in which nothing arrives.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -19,14 +21,17 @@
 	// DefaultWait is how long the store waits for a change before it responds. It bounds how long a dead connection goes
 	// unnoticed, together with callTimeout.
 	DefaultWait = time.Second
-	// callTimeout bounds a call, in addition to its wait; a slow store takes 0.4 s.
+	// callTimeout bounds the time to the first part of a response, in addition to the wait of the call; a slow store takes 0.4 s.
 	callTimeout = time.Second
-	// probeInterval is the time between the probes that follow a failed read; probeTimeout bounds each of them. Probes overlap:
-	// those sent while the store did not respond never get a response, and a slow store takes 0.7 s.
+	// partTimeout bounds the time between two parts of a response. On a narrow link, the responses of a new owner share it.
+	partTimeout = 2 * time.Second
+	// probeInterval is the time between the probes that follow a failed read, until one receives a response; probeTimeout bounds the
+	// time to its first part. Probes overlap: those sent while the store did not respond never get a response, and a slow store
+	// takes 0.7 s.
 	probeInterval = 300 * time.Millisecond
 	probeTimeout  = 1500 * time.Millisecond
 	// maxPageTries is the maximum number of attempts to read a page. The time-out doubles with each one, because the last response
-	// may have been lost, or may be too large for a host with little processor time.
+	// may have been lost, or may take long on a host with little processor time.
 	maxPageTries = 4
 	// probesPerLogLine is the number of failed probes for which one line is logged.
 	probesPerLogLine = 10
@@ -134,44 +139,82 @@
 
 // waitForChanges reads the changes after a version; the store waits for one if there is none.
 func waitForChanges(ctx context.Context, o Options, after uint64) (rowstore.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, o.Wait+callTimeout)
+	ctx, cancel := rowstore.WithSilence(ctx, rowstore.Silence{First: o.Wait + callTimeout, Between: partTimeout})
 	defer cancel()
 	return o.Store.Changes(ctx, o.Table, after, o.Wait)
 }
 
-// probeUntilResponse reads the changes after a version, without a wait, until the store responds.
+// probeUntilResponse reads the changes after a version, without a wait, until the store responds. Once a probe receives a response,
+// the others end and no further one is sent while more of it arrives: each of them would ask for the same rows again.
 func probeUntilResponse(ctx context.Context, o Options, after uint64) (rowstore.Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type response struct {
-		page rowstore.Page
-		err  error
+		probe int
+		page  rowstore.Page
+		err   error
 	}
-	responses := make(chan response)
+	responses, receiving := make(chan response), make(chan int)
+	cancels := make(map[int]context.CancelFunc)
+	sent := 0
 	probe := func() {
-		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		page, err := o.Store.Changes(callCtx, o.Table, after, 0)
-		select {
-		case responses <- response{page, err}:
-		case <-ctx.Done():
-		}
+		sent++
+		n := sent
+		var first sync.Once
+		probeCtx, cancel := rowstore.WithSilence(ctx, rowstore.Silence{First: probeTimeout, Between: partTimeout, OnProgress: func() {
+			first.Do(func() {
+				select {
+				case receiving <- n:
+				case <-ctx.Done():
+				}
+			})
+		}})
+		cancels[n] = cancel
+		go func() {
+			page, err := o.Store.Changes(probeCtx, o.Table, after, 0)
+			select {
+			case responses <- response{n, page, err}:
+			case <-ctx.Done():
+			}
+		}()
 	}
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
-	failed := 0
-	go probe()
+	failed, receivingProbe := 0, 0
+	probe()
 	for {
 		select {
+		case n := <-receiving:
+			if cancels[n] == nil {
+				// Its response is given up in favour of an earlier one.
+				continue
+			}
+			receivingProbe = n
+			for other, cancel := range cancels {
+				if other != n {
+					cancel()
+					delete(cancels, other)
+				}
+			}
 		case r := <-responses:
 			if r.err == nil || errors.Is(r.err, rowstore.ErrHistoryGone) {
 				return r.page, r.err
 			}
+			if cancels[r.probe] == nil {
+				continue
+			}
+			cancels[r.probe]()
+			delete(cancels, r.probe)
+			if r.probe == receivingProbe {
+				receivingProbe = 0
+			}
 			if failed++; failed%probesPerLogLine == 0 {
 				o.Log.WithError(r.err).WithFields(log.Fields{"table": o.Table, "version": after, "probes": failed}).Warn("feed is still lost")
 			}
 		case <-ticker.C:
-			go probe()
+			if receivingProbe == 0 {
+				probe()
+			}
 		case <-ctx.Done():
 			return rowstore.Page{}, ctx.Err()
 		}
@@ -189,15 +232,11 @@
 		version uint64
 	}
 	results := make([]result, len(partitions))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxParallelReads)
-	for i, partition := range partitions {
-		group.Go(func() (err error) {
-			results[i].rows, results[i].version, err = readPartition(ctx, store, table, partition)
-			return err
-		})
-	}
-	if err := group.Wait(); err != nil {
+	err := inParallel(ctx, len(partitions), func(ctx context.Context, i int, onProgress func()) (err error) {
+		results[i].rows, results[i].version, err = readPartition(ctx, store, table, partitions[i], onProgress)
+		return err
+	})
+	if err != nil {
 		return nil, 0, err
 	}
 	var rows []rowstore.Row
@@ -209,16 +248,70 @@
 	return rows, version, nil
 }
 
-// maxParallelReads is the maximum number of partitions that are read at the same time.
-const maxParallelReads = 64
+const (
+	// initialParallelReads is the number of partitions that are read at the same time while responses arrive, so that they
+	// share the link with few others. While nothing arrives, because the store is slow, the number doubles each
+	// parallelismInterval up to maxParallelReads.
+	initialParallelReads = 6
+	maxParallelReads     = 64
+	parallelismInterval  = 100 * time.Millisecond
+)
+
+// inParallel runs the reads 0 to n-1 and returns their first error, which ends the others. The reads report the parts of responses that
+// arrive.
+func inParallel(ctx context.Context, n int, read func(ctx context.Context, i int, onProgress func()) error) error {
+	group, ctx := errgroup.WithContext(ctx)
+	var next, unfinished atomic.Int64
+	var progressed atomic.Bool
+	unfinished.Store(int64(n))
+	allRead := make(chan struct{})
+	worker := func() error {
+		for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+			if err := read(ctx, i, func() { progressed.Store(true) }); err != nil {
+				return err
+			}
+			progressed.Store(true)
+			if unfinished.Add(-1) == 0 {
+				close(allRead)
+			}
+		}
+		return nil
+	}
+	workers := min(n, initialParallelReads)
+	for range workers {
+		group.Go(worker)
+	}
+	group.Go(func() error {
+		ticker := time.NewTicker(parallelismInterval)
+		defer ticker.Stop()
+		for workers < min(n, maxParallelReads) {
+			select {
+			case <-ticker.C:
+			case <-allRead:
+				return nil
+			case <-ctx.Done():
+				return nil
+			}
+			if progressed.Swap(false) {
+				continue
+			}
+			for range min(workers, maxParallelReads-workers) {
+				workers++
+				group.Go(worker)
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
 
 // readPartition reads all rows of a partition, page by page, and returns the version of the first page.
-func readPartition(ctx context.Context, store Store, table, partition string) ([]rowstore.Row, uint64, error) {
+func readPartition(ctx context.Context, store Store, table, partition string, onProgress func()) ([]rowstore.Row, uint64, error) {
 	var rows []rowstore.Row
 	var version uint64
 	from := ""
 	for {
-		page, err := readPage(ctx, store, rowstore.Range{Table: table, Partition: partition, From: from, Limit: maxPageRows})
+		page, err := readPage(ctx, store, rowstore.Range{Table: table, Partition: partition, From: from, Limit: maxPageRows}, onProgress)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -235,9 +328,9 @@
 }
 
 // readPage reads one page. It retries a failed read unless the call is invalid.
-func readPage(ctx context.Context, store Store, r rowstore.Range) (page rowstore.Page, err error) {
+func readPage(ctx context.Context, store Store, r rowstore.Range, onProgress func()) (page rowstore.Page, err error) {
 	for n := range maxPageTries {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout<<n)
+		callCtx, cancel := rowstore.WithSilence(ctx, rowstore.Silence{First: callTimeout << n, Between: partTimeout, OnProgress: onProgress})
 		page, err = store.Read(callCtx, r)
 		cancel()
 		if err == nil || errors.Is(err, rowstore.ErrInvalid) || !elapsed.Sleep(ctx, retryPause) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -169,3 +169,47 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// While a new owner reads its tables over a narrow link, its other calls must get through: a renewal that takes longer than
+// maxCallTime is sent again, and a host that cannot renew loses the lease before it has read the tables.
+func TestReadingATableLeavesRoomOnTheLink(t *testing.T) {
+	const (
+		linkBytesPerSecond = 1_250_000
+		rowBytes           = 30 << 10
+		maxCallTime        = 350 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		store, partitions := newTable(64)
+		for _, partition := range partitions {
+			store.Put(rowstore.Key{Table: "t", Partition: partition, Name: "row"}, make([]byte, rowBytes))
+		}
+		store.Put(rowstore.Key{Table: "lease", Name: "lease"}, make([]byte, 200))
+		handle := store.Handle()
+		handle.SetLink(linkBytesPerSecond)
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := feed.ReadAll(t.Context(), handle, "t", partitions)
+			done <- err
+		}()
+		for len(done) == 0 {
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			_, err := handle.Read(t.Context(), rowstore.Range{Table: "lease"})
+			assert.NilError(t, err)
+			assert.Check(t, time.Since(began) < maxCallTime, "the call took %s", time.Since(began))
+		}
+		assert.NilError(t, <-done)
+	})
+}
+
+// At a slow store, a table must be read in little more than the time of one response, though it has many partitions.
+func TestASlowStoreIsReadInParallel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, partitions := newTable(64)
+		store.SetSlow(400 * time.Millisecond)
+		began := time.Now()
+		_, _, err := feed.ReadAll(t.Context(), store.Handle(), "t", partitions)
+		assert.NilError(t, err)
+		assert.Check(t, time.Since(began) < 1200*time.Millisecond, "reading took %s", time.Since(began))
+	})
+}
--- a/standin/rows/link.go
+++ b/standin/rows/link.go
@@ -49,6 +49,7 @@
 		}
 		time.Sleep(time.Duration(min(left, linkChunkBytes)) * time.Second / time.Duration(l.bytesPerSecond))
 		<-l.turn
+		rowstore.Progress(ctx)
 		if ctx.Err() != nil {
 			return rowstore.ErrAmbiguous
 		}
