Confirm an outdated configuration before a request is refused by it

Cause: a refusal follows from the configuration that a host happens to have, however old it is. Whatever stops the feed of one host (a full link, little processor time, a silent connection, a suspension) becomes a false answer. Change: a host knows when its configuration was last known to be the newest. Beyond nine tenths of the time in which one has to be in force (setting config_apply, from the bounds of the platform) it reads it again before it answers; requests share one read of at most 0.8 s. If that fails, what does not match gets 503 with Retry-After, at once if the store does not answer the host. What matches goes on: a host that the store turns away serves through the owner. Test: TestOutdatedConfigurationRefusesNothing, which fails without the check (no_route instead of unavailable), covers added and removed routes and keys. It also closes the open point of a suspended host that takes a withdrawn key, as long as the store answers it.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/scheduler"
@@ -135,7 +136,12 @@
 	// write to the store itself: a rejection can then be sent at once, and holds because no write is in flight that may
 	// still be applied.
 	StoreResponsive func() bool
-	Metrics         *Metrics
+	// ReadConfiguration reads the configuration from the store and passes it to Configure, and the time of the read to
+	// ConfirmConfiguration.
+	ReadConfiguration func(ctx context.Context) error
+	// MaxConfigurationAge is how long after the configuration was last known to be the newest requests are refused by it.
+	MaxConfigurationAge time.Duration
+	Metrics             *Metrics
 }
 
 // Frontend handles the requests of callers. It is safe for concurrent use.
@@ -144,6 +150,7 @@
 	config atomic.Pointer[indexedConfiguration]
 	// configConfirmedAt is the time, on the clock of Options.Now, up to which config is known to be the newest configuration.
 	configConfirmedAt atomic.Int64
+	configReads       singleflight.Group
 	// submitted holds the submissions that this host, or another one that asked it to store them, did not accept.
 	submitted submissions
 }
@@ -200,7 +207,14 @@
 }
 
 // ConfirmConfiguration records that no configuration newer than the current one existed at asOf, on the clock of Options.Now.
-func (f *Frontend) ConfirmConfiguration(asOf time.Duration) { f.configConfirmedAt.Store(int64(asOf)) }
+func (f *Frontend) ConfirmConfiguration(asOf time.Duration) {
+	for {
+		confirmed := f.configConfirmedAt.Load()
+		if int64(asOf) <= confirmed || f.configConfirmedAt.CompareAndSwap(confirmed, int64(asOf)) {
+			return
+		}
+	}
+}
 
 // configurationAge returns for how long the current configuration may no longer have been the newest one.
 func (f *Frontend) configurationAge() time.Duration {
@@ -211,32 +225,76 @@
 func (f *Frontend) Configured() bool { return f.config.Load() != nil }
 
 // Match finds the route of a request by its host and the longest matching prefix of its path, and checks the API key. It
-// also returns the job id, which is the rest of the path. Without a match, the first result is nil and the Result says why.
-func (f *Frontend) Match(host, path, key string) (*Match, string, Result) {
+// also returns the job id, which is the rest of the path. Without a match, the first result is nil and the Result says why. A
+// configuration that may be outdated is read again first. If that fails, no request is refused by it: the result is Unavailable.
+func (f *Frontend) Match(ctx context.Context, host, path, key string) (*Match, string, Result) {
 	config := f.config.Load()
 	if config == nil {
 		return nil, "", Result{Unavailable, retryAfter}
 	}
-	var best *workload.Route
-	for i := range config.Routes {
-		r := &config.Routes[i]
+	route, organisation, outcome := config.match(host, path, key)
+	age := f.configurationAge()
+	f.opts.Metrics.observeConfigurationAge(age)
+	if age > f.opts.MaxConfigurationAge {
+		err := f.confirmConfiguration(ctx)
+		if err != nil && outcome != OK {
+			f.opts.Log.WithError(err).WithFields(log.Fields{"config": config.Version, "config_age_ms": age.Milliseconds(), "host": host, "path": path}).
+				Warn("request rejected: it does not match the configuration, which may be outdated")
+			return nil, "", Result{Unavailable, retryAfter}
+		}
+		// A request that matches goes on without a confirmation, because a host that the store turns away serves through the owner.
+		config = f.config.Load()
+		route, organisation, outcome = config.match(host, path, key)
+	}
+	refusal := log.Fields{"config": config.Version, "config_age_ms": f.configurationAge().Milliseconds()}
+	switch outcome {
+	case NoRoute:
+		f.opts.Log.WithFields(refusal).WithFields(log.Fields{"host": host, "path": path}).Info("request rejected: no route matches in the current configuration")
+		return nil, "", f.rejectUnmatched(NoRoute)
+	case NoKey:
+		f.opts.Log.WithFields(refusal).WithField("queue", route.Name).Info("request rejected: API key is not valid in the current configuration")
+		return nil, "", f.rejectUnmatched(NoKey)
+	}
+	return &Match{*route, config.Version, config.MaxBodyBytes, organisation}, path[len(route.Prefix):], Result{}
+}
+
+// match returns the route of a request and the organisation that its key belongs to. The outcome is OK, NoRoute or NoKey.
+func (c *indexedConfiguration) match(host, path, key string) (best *workload.Route, organisation string, outcome Outcome) {
+	for i := range c.Routes {
+		r := &c.Routes[i]
 		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
 			best = r
 		}
 	}
-	age := f.configurationAge()
-	f.opts.Metrics.observeConfigurationAge(age)
-	refusal := f.opts.Log.WithFields(log.Fields{"config": config.Version, "config_age_ms": age.Milliseconds()})
 	if best == nil {
-		refusal.WithFields(log.Fields{"host": host, "path": path}).Info("request rejected: no route matches in the current configuration")
-		return nil, "", f.rejectUnmatched(NoRoute)
+		return nil, "", NoRoute
 	}
-	organisation, ok := config.authenticate(best, key)
+	organisation, ok := c.authenticate(best, key)
 	if !ok {
-		refusal.WithField("queue", best.Name).Info("request rejected: API key is not valid in the current configuration")
-		return nil, "", f.rejectUnmatched(NoKey)
+		return best, "", NoKey
+	}
+	return best, organisation, OK
+}
+
+// confirmTimeout bounds the read of a configuration that may be outdated; a slow store takes 0.7 s.
+const confirmTimeout = 800 * time.Millisecond
+
+// confirmConfiguration reads the configuration from the store. Requests that need it at the same time share one read.
+func (f *Frontend) confirmConfiguration(ctx context.Context) error {
+	if !f.opts.StoreResponsive() {
+		return errStoreUnresponsive
+	}
+	done := f.configReads.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+		defer cancel()
+		return nil, f.opts.ReadConfiguration(ctx)
+	})
+	select {
+	case r := <-done:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return &Match{*best, config.Version, config.MaxBodyBytes, organisation}, path[len(best.Prefix):], Result{}
 }
 
 // rejectUnmatched counts a request that matched no route or had no valid key, and returns its result.
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -61,6 +62,27 @@
 	match           *Match
 }
 
+// testConfigurationAge is the MaxConfigurationAge of fixtures.
+const testConfigurationAge = 2 * time.Second
+
+// readConfiguration puts the configuration in the store in effect.
+func (x *fixture) readConfiguration(ctx context.Context) error {
+	asOf := x.frontend.opts.Now()
+	page, err := x.handle.Read(ctx, rowstore.Range{Table: "op", From: "config"})
+	if err != nil {
+		return err
+	}
+	for _, r := range page.Rows {
+		var c workload.Configuration
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			return err
+		}
+		x.frontend.Configure(&c)
+	}
+	x.frontend.ConfirmConfiguration(asOf)
+	return nil
+}
+
 func newFixture(t *testing.T) *fixture {
 	x := &fixture{store: rows.New()}
 	began := time.Now()
@@ -69,12 +91,12 @@
 	x.frontend = New(Options{
 		Store: x.handle, Owner: x.owner, Log: &log.Logger{Handler: discard.New()},
 		WallMS: func() int64 { return 1 }, Now: func() time.Duration { return time.Since(began) }, StoreResponsive: x.storeResponsive.Load,
-		Metrics: NewMetrics(prometheus.NewRegistry()),
+		Metrics: NewMetrics(prometheus.NewRegistry()), MaxConfigurationAge: testConfigurationAge, ReadConfiguration: x.readConfiguration,
 	})
 	x.frontend.Configure(&workload.Configuration{Version: 3, Routes: []workload.Route{
 		{Name: "short", Host: "h", Prefix: "/q/"}, {Name: "long", Host: "h", Prefix: "/q/deep/"},
 	}})
-	match, id, _ := x.frontend.Match("H", "/q/deep/1", "")
+	match, id, _ := x.frontend.Match(t.Context(), "H", "/q/deep/1", "")
 	assert.Equal(t, id, "1")
 	x.match = match
 	return x
@@ -97,9 +119,9 @@
 	x := newFixture(t)
 	assert.Equal(t, x.match.Name, "long")
 	x.frontend.Configure(&workload.Configuration{Version: 2})
-	_, _, result := x.frontend.Match("h", "/q/1", "")
+	_, _, result := x.frontend.Match(t.Context(), "h", "/q/1", "")
 	assert.Equal(t, result.Outcome, OK)
-	_, _, result = x.frontend.Match("h", "/other/1", "")
+	_, _, result = x.frontend.Match(t.Context(), "h", "/other/1", "")
 	assert.Equal(t, result.Outcome, NoRoute)
 }
 
@@ -119,12 +141,12 @@
 		}
 	}
 	outcome := func(path, key string) Outcome {
-		_, _, result := x.frontend.Match("h", path, key)
+		_, _, result := x.frontend.Match(t.Context(), "h", path, key)
 		return result.Outcome
 	}
 	first := config(5, digest("old"), digest("new"))
 	x.frontend.Configure(first)
-	match, _, _ := x.frontend.Match("h", "/q/1", "old")
+	match, _, _ := x.frontend.Match(t.Context(), "h", "/q/1", "old")
 	assert.Equal(t, match.Organisation, "library")
 	assert.Equal(t, outcome("/q/1", "new"), OK)
 	for _, key := range []string{"", "other", strings.Repeat("k", 4000)} {
@@ -291,3 +313,38 @@
 		}
 	})
 }
+
+// A host whose feed of the configuration has stalled must neither refuse a route or a key that was added meanwhile, nor serve one that
+// was removed, as long as the store answers it. While the store does not answer, it must not refuse by what it does not know.
+func TestOutdatedConfigurationRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newFixture(t)
+		key, ok := workload.DigestKey("new")
+		assert.Assert(t, ok)
+		value, err := json.Marshal(workload.Configuration{
+			Version: 4, Routes: []workload.Route{{Name: "added", Host: "h", Prefix: "/added/"}}, ChecksKeys: true,
+			Organisations: []workload.Organisation{{Name: "o", Keys: []workload.KeyDigest{key}}},
+		})
+		assert.NilError(t, err)
+		x.store.Put(rowstore.Key{Table: "op", Name: "config"}, value)
+		outcome := func(path, key string) Outcome {
+			_, _, result := x.frontend.Match(t.Context(), "h", path, key)
+			return result.Outcome
+		}
+		assert.Equal(t, outcome("/added/1", "new"), NoRoute, "the configuration may be as old as this")
+		time.Sleep(testConfigurationAge + time.Millisecond)
+		x.storeResponsive.Store(false)
+		began := time.Now()
+		assert.Equal(t, outcome("/added/1", "new"), Unavailable)
+		assert.Equal(t, time.Since(began), time.Duration(0), "a rejection must not wait for a store that does not answer")
+		assert.Equal(t, outcome("/q/1", ""), OK, "a host that the store turns away serves through the owner")
+		x.storeResponsive.Store(true)
+		x.handle.SetFault(func(bool) rows.Fault { return rows.DropCall })
+		assert.Equal(t, outcome("/added/1", "new"), Unavailable)
+		x.handle.SetFault(nil)
+		assert.Equal(t, outcome("/added/1", "new"), OK)
+		time.Sleep(testConfigurationAge + time.Millisecond)
+		assert.Equal(t, outcome("/q/1", "new"), NoRoute)
+		assert.Equal(t, outcome("/added/1", "old"), NoKey)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,9 @@
 	// maxStoreUnresponsive is the time without a response of the store after which the host reports that it is not ready, so
 	// that the load balancer takes it out of rotation.
 	maxStoreUnresponsive = 1500 * time.Millisecond
+	// maxConfigAgeShare is the share of the time in which a configuration has to be in force during which one is trusted without
+	// being confirmed again.
+	maxConfigAgeShare = 0.9
 	// maxHeaderBytes bounds the header of a request. It equals the bound in the operators' configurations.
 	maxHeaderBytes = 16 << 10
 	// readHeaderTimeout and callerIdleTimeout equal the bounds in the operators' configurations.
@@ -123,6 +126,7 @@
 	n.frontend = frontend.New(frontend.Options{
 		Store: n.store, Owner: owner,
 		Log: t.Log, WallMS: wallMS, Now: elapsed.Now, StoreResponsive: n.storeResponsive,
+		ReadConfiguration: n.readConfiguration, MaxConfigurationAge: time.Duration(maxConfigAgeShare * float64(s.ConfigApply)),
 		Metrics: frontend.NewMetrics(t.Registry),
 	})
 	return n
@@ -181,6 +185,18 @@
 	}
 }
 
+// readConfiguration reads the operator rows from the store and puts the configuration in effect.
+func (n *Node) readConfiguration(ctx context.Context) error {
+	asOf := elapsed.Now()
+	rows, _, err := feed.ReadAll(ctx, n.store, platform.OperatorTable, nil)
+	if err != nil {
+		return err
+	}
+	n.applyOperatorRows(feed.Batch{Table: platform.OperatorTable, Rows: rows, Full: true})
+	n.frontend.ConfirmConfiguration(asOf)
+	return nil
+}
+
 // ready reports whether the host should receive new connections.
 func (n *Node) ready() bool {
 	return !n.stopping.Load() && n.frontend.Configured() && n.storeResponsive()
--- a/settings/node.go
+++ b/settings/node.go
@@ -32,6 +32,8 @@
 	StopTimeout time.Duration
 	// MaxLease is the longest lease that an executor grants.
 	MaxLease time.Duration
+	// ConfigApply is the time in which a confirmed configuration has to be in force.
+	ConfigApply time.Duration
 	// Grace is the time from SIGTERM until the process is killed.
 	Grace time.Duration
 	// LameDuck is how long the process still accepts requests after it stopped reporting that it is ready. It must be shorter
@@ -68,6 +70,7 @@
 		StatusKept:     l.Duration("bounds", "status_kept", 2*time.Minute, time.Second, 24*time.Hour),
 		StopTimeout:    l.Duration("bounds", "stop_timeout", 200*time.Millisecond, 0, time.Minute),
 		MaxLease:       l.Duration("bounds", "max_lease", 6*time.Second, time.Second, time.Minute),
+		ConfigApply:    l.Duration("bounds", "config_apply", 2*time.Second, 100*time.Millisecond, time.Minute),
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
 		Telemetry:      ReadTelemetry(l),
