Follow the configuration and the owner until callers are no longer served

Cause: a stopping host ended its feed of the configuration and its view of the owner at SIGTERM, and served callers for 2.5 s more and until requests in progress had ended. One that had just lost the owner knew none, so each queue length waited for the caller's deadline, which kept the process for up to 5.1 s after SIGTERM, with the configuration of its start of stopping. Ruled out: a shorter lame-duck period; the load balancer needs two probes. Change: both go on in a service that stops after the servers. Withdraw ends the ownership and waits for the release of the lease.

--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"github.com/tamarackworks/tamarackworks/kernel"
 	"github.com/tamarackworks/tamarackworks/ownership"
 	"github.com/tamarackworks/tamarackworks/platform"
+	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/settings"
 	"github.com/tamarackworks/tamarackworks/telemetry"
 )
@@ -58,22 +60,36 @@
 	// holder identifies this run of the process as a holder of the lease.
 	holder string
 
-	store       *platform.Store
+	store       rowStore
 	frontend    *frontend.Frontend
 	coordinator *coordinator.Coordinator
 	manager     *ownership.Manager
 
 	stopping atomic.Bool
 	peers    *peers
-	cancel   context.CancelFunc
-	done     chan struct{}
+}
+
+// rowStore is the part of the row store that the services of a host use.
+type rowStore interface {
+	Commit(ctx context.Context, txn rowstore.Txn) (uint64, error)
+	Read(ctx context.Context, r rowstore.Range) (rowstore.Page, error)
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error)
 }
 
 // Register adds the services of the host to k. A reload reads the settings from path.
 func Register(k *kernel.Kernel, path string, s *settings.Node, t *telemetry.Telemetry) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
-	n := newNode(s, t)
+	return register(k, path, newNode(s, t, platform.NewStore(s.StoreAddress)), t)
+}
+
+// register adds the services of n to k. Those that follow the configuration and the owner stop last, because a host that stops still
+// answers callers.
+func register(k *kernel.Kernel, path string, n *Node, t *telemetry.Telemetry) error {
+	s := n.settings
+	if err := k.Register("observer", &observer{node: n}); err != nil {
+		return err
+	}
 	servers := []struct {
 		name    string
 		options daemon.HTTPOptions
@@ -97,9 +113,9 @@
 	return k.Register("node", n)
 }
 
-func newNode(s *settings.Node, t *telemetry.Telemetry) *Node {
+func newNode(s *settings.Node, t *telemetry.Telemetry, store rowStore) *Node {
 	n := &Node{
-		settings: s, log: t.Log, store: platform.NewStore(s.StoreAddress), done: make(chan struct{}),
+		settings: s, log: t.Log, store: store,
 		holder: s.ID + "/" + uuid.NewString(),
 	}
 	options := coordinator.Options{
@@ -137,34 +153,52 @@
 // Provision implements kernel.Service.
 func (n *Node) Provision(*kernel.Kernel) error { return nil }
 
-// Start implements kernel.Service.
-func (n *Node) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
-	go feed.Follow(ctx, feed.Options{
-		Store: n.store, Table: platform.OperatorTable, Log: n.log, Deliver: n.applyOperatorRows,
-		Confirm: n.frontend.ConfirmConfiguration, Now: elapsed.Now,
-	})
-	go func() {
-		defer close(n.done)
-		n.manager.Run(ctx)
-	}()
-	return nil
-}
+// Start implements kernel.Service. The observer starts what the host does without being asked.
+func (n *Node) Start(context.Context) error { return nil }
 
 // Stop makes the host report that it is not ready, releases the lease so that another host takes over the ownership, and keeps
 // serving for the lame-duck period, so that the load balancer can take the host out of rotation.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
-	n.manager.Withdraw()
-	n.cancel()
 	lameDuck := time.NewTimer(n.settings.LameDuck)
 	defer lameDuck.Stop()
+	n.manager.Withdraw(ctx)
 	select {
 	case <-lameDuck.C:
 	case <-ctx.Done():
 	}
-	<-n.done
+	return nil
+}
+
+// observer follows the configuration and the ownership, and takes part in it until the node stops.
+type observer struct {
+	node   *Node
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// Provision implements kernel.Service.
+func (o *observer) Provision(*kernel.Kernel) error { return nil }
+
+// Start implements kernel.Service.
+func (o *observer) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	o.cancel = cancel
+	n := o.node
+	o.done.Go(func() {
+		feed.Follow(ctx, feed.Options{
+			Store: n.store, Table: platform.OperatorTable, Log: n.log, Deliver: n.applyOperatorRows,
+			Confirm: n.frontend.ConfirmConfiguration, Now: elapsed.Now,
+		})
+	})
+	o.done.Go(func() { n.manager.Run(ctx) })
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (o *observer) Stop(context.Context) error {
+	o.cancel()
+	o.done.Wait()
 	return nil
 }
 
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -179,6 +179,10 @@
 	confirmedAt time.Duration
 	// withdrawn is set when this process must no longer take the lease.
 	withdrawn bool
+	// stopLeading ends the leading that goes on, and led is closed when it has ended and the lease is released. Both are nil while
+	// this process does not lead.
+	stopLeading context.CancelFunc
+	led         chan struct{}
 	// attemptAt is when this process tries to take the free lease; 0 while the lease is not free.
 	attemptAt time.Duration
 	// storeLatency is how long the last read took beyond its wait.
@@ -232,11 +236,21 @@
 	return m.storeSeenAt
 }
 
-// Withdraw prevents this process from taking the lease from now on. It is called before the process stops.
-func (m *Manager) Withdraw() {
+// Withdraw prevents this process from taking the lease from now on, ends its ownership and waits until the lease is released or ctx
+// ends. The process goes on observing who the owner is, until Run ends. It is called before the process stops.
+func (m *Manager) Withdraw(ctx context.Context) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.withdrawn = true
+	stop, led := m.stopLeading, m.led
+	m.mu.Unlock()
+	if stop == nil {
+		return
+	}
+	stop()
+	select {
+	case <-led:
+	case <-ctx.Done():
+	}
 }
 
 // takeOver tries to take the lease and, if it succeeds, leads until the ownership ends.
@@ -291,7 +305,14 @@
 // lead runs Options.Lead and renews the lease until either ends, and then releases the lease if this process still holds it.
 func (m *Manager) lead(ctx context.Context, term Term) {
 	leadCtx, stop := context.WithCancel(ctx)
-	done := make(chan struct{})
+	done, led := make(chan struct{}), make(chan struct{})
+	defer close(led)
+	m.mu.Lock()
+	m.stopLeading, m.led = stop, led
+	if m.withdrawn {
+		stop()
+	}
+	m.mu.Unlock()
 	go func() {
 		defer close(done)
 		if err := m.opts.Lead(leadCtx, term); err != nil && leadCtx.Err() == nil {
@@ -307,4 +328,7 @@
 	<-done
 	m.opts.Log.WithFields(log.Fields{"epoch": term.Epoch, "reason": reason}).Info("ownership ended")
 	m.release(term)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopLeading, m.led = nil, nil
 }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -274,7 +274,7 @@
 				return rows.None
 			})
 		}
-		first.manager.Withdraw()
+		first.manager.Withdraw(t.Context())
 		first.cancel()
 		// The delay of a candidate that is not named, the time-out of the lost response, and a read.
 		time.Sleep(2*time.Second + callTimeout)
@@ -438,7 +438,7 @@
 		g := newGroup(t, "a", "b")
 		time.Sleep(time.Second)
 		first := g.owners()[0]
-		first.manager.Withdraw()
+		first.manager.Withdraw(t.Context())
 		first.cancel()
 		time.Sleep(400 * time.Millisecond)
 		assert.Equal(t, len(g.owners()), 1)
