Let an overloaded owner hand over although its renewals are slow

Cause: an owner hands over to a host with twice its processor time only after a renewal of less than 0.2 s, because at a slow store a handover takes long. The renewals of an owner that fills its own link never are that quick. Ruled out: telling a slow store from a slow owner by asking others, which costs a protocol; no handover at all in the first seconds remains. Change: after 6 s it hands over in any case. Test: TestOutrankedOwnerHandsOverAlthoughItsRenewalsAreSlow fails without the change.

--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -86,8 +86,10 @@
 	// minTerm is how long an owner leads before it hands over to a more suitable successor; loading the state takes up to half
 	// a second.
 	minTerm = 3 * time.Second
-	// maxHandoverLatency is the longest renewal after which the owner hands over: at a slow store a handover takes long.
+	// maxHandoverLatency is the longest renewal after which the owner hands over within maxHandoverWait: at a slow store a handover
+	// takes long. An owner that waits longer may itself be the reason that its renewals are slow.
 	maxHandoverLatency = 200 * time.Millisecond
+	maxHandoverWait    = 6 * time.Second
 	// probeAfter is how long the lease must not have changed before the owner's process is asked whether it still runs. It is
 	// longer than fullInterval.
 	probeAfter = 750 * time.Millisecond
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -416,6 +416,23 @@
 	})
 }
 
+// An owner whose renewals are slow because its own link or processor is overloaded must hand over to a host that suits better. It
+// would otherwise stay the owner for as long as the load lasts, since its renewals succeed.
+func TestOutrankedOwnerHandsOverAlthoughItsRenewalsAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a")
+		time.Sleep(time.Second)
+		assert.Assert(t, g.candidates[0].manager.OwnsJobs())
+		g.store.SetSlow(maxHandoverLatency + 50*time.Millisecond)
+		g.successors.Store(&[]string{"b"})
+		outranked := "a"
+		g.outranked.Store(&outranked)
+		g.join("b")
+		time.Sleep(maxHandoverWait + 3*time.Second)
+		assert.Assert(t, g.candidates[1].manager.OwnsJobs())
+	})
+}
+
 // The repeated attempts of an owner must not keep a slow store so busy that each renewal waits longer than the one before.
 func TestSlowStoreKeepsTheOwner(t *testing.T) {
 	for _, slow := range []time.Duration{100, 340, 600} {
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -49,7 +49,7 @@
 			retrying = false
 			took := m.opts.Now() - sent - r.SentAt
 			hedge = hedgeDelay(took)
-			if m.opts.Outranked != nil && took < maxHandoverLatency && sent-began > minTerm && m.opts.Outranked() {
+			if m.opts.Outranked != nil && mayHandOver(took, sent-began) && m.opts.Outranked() {
 				return "handed over to a host that suits better"
 			}
 		case errors.As(err, &conflict):
@@ -67,6 +67,11 @@
 	}
 }
 
+// mayHandOver reports whether an owner may hand over that has led for a time and whose last renewal took a time.
+func mayHandOver(renewalTook, led time.Duration) bool {
+	return led > maxHandoverWait || led > minTerm && renewalTook < maxHandoverLatency
+}
+
 // capValidity ends the ownership no later than until. The others act on a shorter validity as soon as they read it, possibly
 // before the renewal that shortens it is answered here.
 func (m *Manager) capValidity(until time.Duration) {
