Keep the record of an executor until the ends that it listed are durable

Executor i-94eb98e3f0 lists two ends at 20.4 s; their record waits for a commit. The executor leaves the registrations for a while; since nothing runs on it, the owner drops it at 22.3 s and deletes its record, in a transaction before that of the ends. The new owner of 23.1 s does not know the executor, starts both tasks again at 23.7 s, opens a session when it registers again at 24.9 s, and is told the ends. Ruled out: acknowledgements before the commit (sessions acknowledge what a durable commit covers); two owners (the former one ended at 23.4 s and started nothing after 20 s of these tasks); the resolution of conflicts in commits, by reading. Change: an executor is forgotten only when all ends that it listed are durable. Test: TestAnExecutorIsKeptUntilItsEndsAreDurable, fails without the check.

--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -102,6 +102,8 @@
 		return
 	}
 	if len(txn.Put)+len(txn.Delete) == 0 {
+		// The ends changed no record, so they are durable without a transaction.
+		l.core.Committed(commit, 0)
 		l.acknowledgeEnds(commit)
 		return
 	}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -62,4 +62,9 @@
 			j.durableStatus = w.Record.Status
 		}
 	}
+	for id, end := range commit.Ends {
+		if e := c.executors[id]; e != nil && e.incarnation == end.BornUnixMS {
+			e.durableEnd = max(e.durableEnd, end.Number)
+		}
+	}
 }
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -469,3 +469,17 @@
 		assert.Equal(t, len(h.starts), 0)
 	}
 }
+
+// An executor that leaves the registrations for a while may list ends that are not stored yet. The owner must keep its record until they
+// are: a new owner that does not know the executor starts these tasks again, and then finds them done there.
+func TestAnExecutorIsKeptUntilItsEndsAreDurable(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("job", batchStep(1, 500))
+	h.end(taskID("job", 0, 0), workload.EndDone)
+	h.core.DeregisterExecutor("x0")
+	assert.Assert(t, !h.core.ForgetExecutor("x0"), "the end is not in a commit")
+	commit := h.core.TakeCommit(28)
+	assert.Assert(t, !h.core.ForgetExecutor("x0"), "the commit is not durable")
+	h.core.Committed(commit, 1)
+	assert.Assert(t, h.core.ForgetExecutor("x0"))
+}
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -92,11 +92,13 @@
 	}
 }
 
-// ForgetExecutor drops an executor that is not registered, has no tasks and is not unreconciled, and reports whether it did.
+// ForgetExecutor drops an executor that is not registered, has no tasks, has listed no end that is not durable, and is not
+// unreconciled, and reports whether it did. A later owner that did not know the executor would start tasks again of which
+// only its list shows that they are done.
 func (c *Core) ForgetExecutor(id string) bool {
 	e := c.executors[id]
 	_, unreconciled := c.unreconciled[id]
-	if e == nil || e.registered || len(e.tasks) > 0 || unreconciled {
+	if e == nil || e.registered || len(e.tasks) > 0 || unreconciled || e.lastEnd > e.durableEnd {
 		return false
 	}
 	c.removeMember(e)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -37,7 +37,7 @@
 		}
 	}
 	if r.BornUnixMS != e.incarnation {
-		e.incarnation, e.ackedEnd = r.BornUnixMS, 0
+		e.incarnation, e.ackedEnd, e.durableEnd = r.BornUnixMS, 0, 0
 	}
 	e.lastEnd = lastEnd
 	if e.lastEnd > e.ackedEnd {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -234,9 +234,11 @@
 	cooldownUntil time.Duration
 	// incarnation is the BornUnixMS that lastEnd and ackedEnd belong to.
 	incarnation int64
-	// lastEnd is the number of the last processed end, ackedEnd the last one that a commit covers.
-	lastEnd  int64
-	ackedEnd int64
+	// lastEnd is the number of the last processed end, ackedEnd the last one that a commit covers, durableEnd the last one that a
+	// durable commit covers.
+	lastEnd    int64
+	ackedEnd   int64
+	durableEnd int64
 	// idleSince is when the executor last became empty, or when it became known.
 	idleSince time.Duration
 	// unwantedStopAt is when stopUnwanted last ordered a stop, by task.
