Give up tasks that crash the executors that start them

Cause: a run that ends with its executor counted as lost, never as caused by it, so nothing limited its starts. Class of fault: work that is started again without an account of what it did to the one that ran it. Ruled out: counting a crash against all tasks on the executor (a crash hits some 19 tasks, most of them sound, which would fail with the second one); counting only failed ends (a crash lists none); keeping the executor out (the task goes to the next). Change: the crash of an executor makes the tasks that it had started within 0.2 s suspects. A suspect starts where nothing else started lately, and nothing starts beside it for 0.2 s; a run that outlasts this clears it. Its job fails at the second crash if no other task can be the cause. Tasks under two crashes that no recent start explains stay on probation until they end. A crash is a refused connection or another incarnation, not silence, and not the end of an executor that was leaving.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -189,7 +189,7 @@
 		}
 	case session.ContactLost:
 		l.log.WithFields(log.Fields{"executor": e.Executor, "reason": e.Reason}).Warn("contact with executor lost")
-		l.core.LoseContact(now, e.Executor)
+		l.core.LoseContact(now, e.Executor, e.Refused)
 		l.recordContactLost(now, e.Executor)
 	case session.LeasesExpired:
 		l.core.ExpireLeases(now, e.Executor)
--- /dev/null
+++ b/scheduler/crashes_test.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/workload"
+)
+
+// maxStartsOfACrashingTask is the operators' bound: two starts more after three executors have crashed under a task.
+const maxStartsOfACrashingTask = 5
+
+// crashes makes the executors of a harness crash under some tasks.
+type crashes struct {
+	*harness
+	// delay is how long after their start the tasks crash their executor.
+	delay   time.Duration
+	crashed map[workload.TaskID]int
+	// restart makes executors start again under their id; otherwise others take their place.
+	restart    bool
+	born       int64
+	executors  int
+	deadly     map[workload.TaskID]bool
+	startedAt  map[workload.TaskID]time.Duration
+	seenStarts int
+}
+
+func newCrashes(t *testing.T, executors int, deadly ...workload.TaskID) *crashes {
+	x := &crashes{
+		harness: newHarness(t, executors), executors: executors, born: 1, crashed: make(map[workload.TaskID]int),
+		deadly: make(map[workload.TaskID]bool), startedAt: make(map[workload.TaskID]time.Duration),
+	}
+	for _, task := range deadly {
+		x.deadly[task] = true
+	}
+	return x
+}
+
+// step lets a time pass, in which deadly tasks crash their executors and others end after a second.
+func (x *crashes) step(d time.Duration) {
+	x.advance(d)
+	for _, s := range x.starts[x.seenStarts:] {
+		x.startedAt[s.Task] = x.now
+	}
+	x.seenStarts = len(x.starts)
+	var crashing []string
+	for _, id := range slices.Sorted(maps.Keys(x.running)) {
+		for task := range x.running[id] {
+			if x.deadly[task] && x.now-x.startedAt[task] >= x.delay {
+				crashing = append(crashing, id)
+				break
+			}
+		}
+	}
+	for _, id := range crashing {
+		x.crash(id)
+	}
+	for _, id := range slices.Sorted(maps.Keys(x.running)) {
+		for task := range x.running[id] {
+			if !x.deadly[task] && x.now-x.startedAt[task] >= time.Second {
+				x.end(task, workload.EndDone)
+			}
+		}
+		x.report(id)
+	}
+}
+
+func (x *crashes) crash(id string) {
+	for task := range x.running[id] {
+		x.crashed[task]++
+	}
+	x.core.LoseContact(x.now, id, true)
+	if x.restart {
+		x.born++
+		clear(x.running[id])
+		x.ends[id] = 0
+		x.core.Report(x.now+600*time.Millisecond, id, workload.Report{BornUnixMS: x.born}, x.now, 0)
+		x.runCommands()
+		return
+	}
+	delete(x.running, id)
+	x.core.DeregisterExecutor(id)
+	x.core.EndExecutor(x.now+600*time.Millisecond, id)
+	x.executors++
+	x.addExecutor(fmt.Sprintf("x%d", x.executors), size)
+}
+
+// startsOf counts the starts of a task.
+func (x *crashes) startsOf(task workload.TaskID) int {
+	n := 0
+	for _, s := range x.starts {
+		if s.Task == task {
+			n++
+		}
+	}
+	return n
+}
+
+// A task that crashes each executor on which it starts must not go from executor to executor. Its job fails; tasks that ran beside it
+// go on elsewhere.
+func TestATaskThatCrashesItsExecutorsIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay   time.Duration
+		deadly  []workload.TaskID
+		restart bool
+		step    workload.Step
+	}{
+		"at its start":             {0, []workload.TaskID{taskID("deadly", 0, 0)}, false, batchStep(3, 500)},
+		"half a second later":      {500 * time.Millisecond, []workload.TaskID{taskID("deadly", 0, 1)}, false, batchStep(3, 500)},
+		"two tasks, one job":       {0, []workload.TaskID{taskID("deadly", 0, 0), taskID("deadly", 0, 1)}, false, batchStep(3, 500)},
+		"executors that come back": {0, []workload.TaskID{taskID("deadly", 0, 0)}, true, batchStep(3, 500)},
+		"a gang":                   {0, []workload.TaskID{taskID("deadly", 0, 1)}, false, workload.Step{Count: 3, Size: workload.Resources{CPUMilli: 500, MemoryMB: 100}, Estimate: 800, Gang: true}},
+		"a long-running task":      {0, []workload.TaskID{taskID("deadly", 0, 0)}, false, workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 500, MemoryMB: 100}, LongRunning: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := newCrashes(t, 4, c.deadly...)
+			x.delay, x.restart = c.delay, c.restart
+			x.addJob("deadly", c.step)
+			for n := range 6 {
+				x.addJob(fmt.Sprintf("sound%d", n), batchStep(2, 500))
+			}
+			x.runCommands()
+			for range 2000 {
+				x.step(20 * time.Millisecond)
+			}
+			for _, task := range c.deadly {
+				assert.Check(t, x.startsOf(task) <= maxStartsOfACrashingTask, "%s started %d times", task, x.startsOf(task))
+			}
+			assert.Equal(t, x.core.jobs["deadly"].status, workload.StatusFailed)
+			for n := range 6 {
+				job := fmt.Sprintf("sound%d", n)
+				assert.Check(t, x.core.jobs[job].status == workload.StatusCompleted, "%s is %s", job, x.core.jobs[job].status)
+			}
+		})
+	}
+}
+
+// A task must not get new attempts at the crash of executors from each owner.
+func TestCrashesCountAcrossTakeovers(t *testing.T) {
+	deadly := taskID("deadly", 0, 0)
+	x := newCrashes(t, 4, deadly)
+	x.submit("deadly", batchStep(2, 500))
+	x.step(100 * time.Millisecond)
+	assert.Equal(t, x.crashed[deadly], 1)
+	data, err := x.core.jobs["deadly"].record().Encode()
+	assert.NilError(t, err)
+	record, err := DecodeRecord(data)
+	assert.NilError(t, err)
+	next := newCrashes(t, 4, deadly)
+	spec := *x.core.jobs["deadly"].spec
+	assert.NilError(t, next.core.AddJob(next.now, &spec, record, 1, true))
+	next.runCommands()
+	for range 100 {
+		next.step(20 * time.Millisecond)
+	}
+	assert.Equal(t, next.crashed[deadly], 1)
+	assert.Equal(t, next.core.jobs["deadly"].status, workload.StatusFailed)
+}
+
+// A task beside which an executor crashes by chance, again and again, must not be given up when other tasks may be the cause, and a
+// run that outlasts its probation clears it.
+func TestBystandersOfCrashesAreNotGivenUp(t *testing.T) {
+	x := newCrashes(t, 4)
+	x.submit("job", batchStep(4, 500))
+	for n := range 600 {
+		if id := x.executorOf(taskID("job", 0, 0)); n%45 == 0 && n < 200 && id != "" {
+			x.crash(id)
+		}
+		x.step(20 * time.Millisecond)
+	}
+	for range 30 {
+		x.step(100 * time.Millisecond)
+	}
+	assert.Equal(t, x.core.jobs["job"].status, workload.StatusCompleted)
+}
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -135,6 +135,9 @@
 	if e == nil {
 		return
 	}
+	if !e.inContact && e.refused {
+		c.recordCrash(now, e)
+	}
 	for t := range e.tasks {
 		c.addDecision(t.id.String(), "run ended with its executor", map[string]any{"executor": id, "run": t.run})
 		c.requeue(now, t)
@@ -144,10 +147,10 @@
 	delete(c.executors, id)
 }
 
-// LoseContact records that an executor does not respond.
-func (c *Core) LoseContact(now time.Duration, id string) {
+// LoseContact records that an executor does not respond. refused means that it refused connections.
+func (c *Core) LoseContact(now time.Duration, id string, refused bool) {
 	if e := c.executors[id]; e != nil && e.inContact {
-		e.inContact, e.noContactSince = false, now
+		e.inContact, e.noContactSince, e.refused = false, now, refused
 	}
 }
 
@@ -193,6 +196,9 @@
 		return
 	}
 	c.markReconciled(id)
+	if !e.inContact && e.refused {
+		c.recordCrash(now, e)
+	}
 	for t := range e.tasks {
 		if t.state == taskStarting {
 			// The start order may still be carried out; its own outcome shows when that is over.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -156,7 +156,7 @@
 			if s.spec.LongRunning {
 				p.core.unplaced[t.job.service]++
 			}
-			if t.avoidUntil == nil && s.spec.MaxPerExecutor == 0 {
+			if t.avoidUntil == nil && s.spec.MaxPerExecutor == 0 && !t.suspect() {
 				return
 			}
 			continue
@@ -250,7 +250,7 @@
 func (p *placement) chooseExecutor(t *task, size workload.Resources, rack string) *executor {
 	spec := t.step.spec
 	sh := shape{size, spec.Label}
-	unconstrained := t.avoidUntil == nil && spec.MaxPerExecutor == 0 && rack == ""
+	unconstrained := t.avoidUntil == nil && spec.MaxPerExecutor == 0 && rack == "" && !t.suspect()
 	if unconstrained && p.isRejected(sh) {
 		return nil
 	}
@@ -263,7 +263,10 @@
 		if spec.MaxPerExecutor > 0 && t.step.perExecutor[e] >= spec.MaxPerExecutor {
 			continue
 		}
-		if p.now < t.avoidUntil[e.info.ID] {
+		if p.now < t.avoidUntil[e.info.ID] || e.testsSuspect(p.now) {
+			continue
+		}
+		if t.suspect() && (!e.settled(p.now) || t.step.perExecutor[e] > 0 && spec.Gang) {
 			continue
 		}
 		if p.core.needsPermit(t) && !t.step.permits.allows(e.info.ID, p.now) {
@@ -307,6 +310,8 @@
 	// failingPenalty applies to executors that have had no success since a failure, and to those on which the task failed or
 	// stalled.
 	failingPenalty = 50.0
+	// suspectPenalty applies for each task on an executor to tasks that may crash it.
+	suspectPenalty = 5.0
 )
 
 // penalty returns how unsuitable an executor with room is for a task.
@@ -322,6 +327,9 @@
 	if e.yielding {
 		penalty += yieldingPenalty
 	}
+	if t.suspect() {
+		penalty += suspectPenalty * float64(len(e.tasks))
+	}
 	remaining := float64(e.free().CPUMilli-spec.Size.CPUMilli) / float64(max(e.info.Capacity.CPUMilli, 1))
 	if !spec.LongRunning {
 		return penalty + remaining
@@ -352,6 +360,9 @@
 	t.run, t.percent, t.pace, t.inheritedStopDeadline = run, 0, 100, 0
 	t.respondedAt = never
 	e.attach(t)
+	if t.suspect() {
+		e.suspect = t
+	}
 	t.job.started = true
 	permit := ""
 	if c.needsPermit(t) {
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -29,7 +29,7 @@
 	Steps []string `json:"t,omitempty"`
 }
 
-// RetryRecord holds the failures of a task and the checkpoint to resume from.
+// RetryRecord holds the failures of a task, the crashes of executors under it, and the checkpoint to resume from.
 type RetryRecord struct {
 	Occurrence int `json:"k,omitempty"`
 	Step       int `json:"s,omitempty"`
@@ -37,6 +37,9 @@
 	// FailedRuns holds the numbers of the failed runs, because an executor may list the end of a run again to a later owner.
 	FailedRuns []int  `json:"f,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// Crashes and LateCrashes count the executors that crashed under the task; see crashCounts.
+	Crashes     int `json:"x,omitempty"`
+	LateCrashes int `json:"y,omitempty"`
 }
 
 // DecodeRecord reads a stored record.
@@ -71,9 +74,10 @@
 		for _, s := range o.steps {
 			rec.Steps = append(rec.Steps, encodeDone(s))
 			for _, t := range s.tasks {
-				if t.state != taskDone && (len(t.failedRuns) > 0 || t.checkpoint != "") {
+				if t.state != taskDone && (len(t.failedRuns) > 0 || t.checkpoint != "" || t.crashes != crashCounts{}) {
 					r.Retries = append(r.Retries, RetryRecord{
 						Occurrence: o.number, Step: s.index, Index: t.id.Index, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
+						Crashes: t.crashes.recent, LateCrashes: t.crashes.late,
 					})
 				}
 			}
@@ -130,6 +134,7 @@
 		}
 		t := o.steps[rec.Step].tasks[rec.Index]
 		t.failedRuns, t.checkpoint = rec.FailedRuns, rec.Checkpoint
+		t.crashes = crashCounts{recent: rec.Crashes, late: rec.LateCrashes}
 		for _, run := range rec.FailedRuns {
 			t.endedRun = max(t.endedRun, run)
 		}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -26,6 +26,10 @@
 		c.handleEnded(now, e, x)
 	}
 	restarted := e.incarnation != 0 && r.BornUnixMS != e.incarnation
+	if restarted {
+		c.recordCrash(now, e)
+	}
+	c.acquit(now, e)
 	for t := range e.tasks {
 		run, ok := present[t.id]
 		if ok && run == t.run {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -49,6 +49,7 @@
 	// failedRuns holds each failed run once.
 	failedRuns []int
 	checkpoint string
+	crashes    crashCounts
 	// percent is the progress that the executor last reported. A long-running task serves from 100 percent on.
 	percent float64
 	// progressChangedAt is when percent last changed.
@@ -225,6 +226,10 @@
 	suspended bool
 	// cordonExpected executors will be cordoned later; long-running tasks are placed elsewhere if possible.
 	cordonExpected bool
+	// refused is set if the executor refused connections when contact was lost, so that its process had ended.
+	refused bool
+	// suspect is the last suspect that was started on the executor; see testsSuspect.
+	suspect *task
 	// backoffUntil is until when the executor gets no new tasks after it refused a start.
 	backoffUntil time.Duration
 	// failStreak counts failures of different jobs without a success in between, lastFailed is the last of these jobs.
@@ -255,7 +260,7 @@
 
 // acceptsTasks reports whether new tasks may be placed on the executor now.
 func (e *executor) acceptsTasks(now time.Duration) bool {
-	return e.registered && e.inContact && e.reported && !e.info.Draining && !e.cordoned && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil
+	return e.registered && e.inContact && e.reported && !e.info.Draining && !e.cordoned && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
 }
 
 // attach places a task on the executor and reserves its resources.
--- a/session/events.go
+++ b/session/events.go
@@ -29,6 +29,8 @@
 	Executor string
 	At       time.Duration
 	Reason   string
+	// Refused is set if the address of the executor refuses connections, so that its process has ended.
+	Refused bool
 }
 
 // LeasesExpired means that all leases on an executor that does not respond have expired, also by its own clock. It is
--- a/session/hold.go
+++ b/session/hold.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tamarackworks/tamarackworks/elapsed"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
@@ -14,7 +16,7 @@
 	for s.ctx.Err() == nil {
 		if !s.authorised() {
 			// Without reports, the session would not notice that the executor has become another incarnation.
-			s.loseContact("ownership is not confirmed")
+			s.loseContact("ownership is not confirmed", false)
 			elapsed.Sleep(s.ctx, holdRetryPause)
 			continue
 		}
@@ -87,10 +89,10 @@
 		s.opts.Emit(Superseded{Executor: s.endpoint.ID})
 		return false
 	case result != Accepted:
-		s.loseContact(string(result))
+		s.loseContact(string(result), false)
 		return false
 	case s.restarted(report) && !s.opts.Owns():
-		s.loseContact("executor restarted while ownership is not confirmed")
+		s.loseContact("executor restarted while ownership is not confirmed", false)
 		return false
 	}
 	s.handleReport(report, sent)
@@ -105,19 +107,22 @@
 	s.unanswered = retry
 	s.mu.Unlock()
 	if !retry {
-		s.loseContact(err.Error())
+		s.loseContactAfter(err)
 	}
 	return retry
 }
 
-// loseContact ends the contact and emits ContactLost if there was one.
-func (s *Session) loseContact(reason string) {
+// loseContactAfter ends the contact because of a failed call.
+func (s *Session) loseContactAfter(err error) { s.loseContact(err.Error(), errors.Is(err, ErrRefused)) }
+
+// loseContact ends the contact and emits ContactLost if there was one. refused means that the executor's process has ended.
+func (s *Session) loseContact(reason string, refused bool) {
 	s.mu.Lock()
 	wasInContact := s.inContact
 	s.inContact, s.unanswered = false, false
 	s.mu.Unlock()
 	if wasInContact {
-		s.opts.Emit(ContactLost{Executor: s.endpoint.ID, At: s.opts.Now(), Reason: reason})
+		s.opts.Emit(ContactLost{Executor: s.endpoint.ID, At: s.opts.Now(), Reason: reason, Refused: refused})
 	}
 }
 
--- a/session/orders.go
+++ b/session/orders.go
@@ -61,7 +61,7 @@
 		case err == nil:
 			return resp.Result
 		case errors.Is(err, ErrNotSent) && !ambiguous:
-			s.loseContact(err.Error())
+			s.loseContactAfter(err)
 			return NotSent
 		case !errors.Is(err, ErrNotSent):
 			ambiguous = true
@@ -163,7 +163,7 @@
 			return s.opts.Client.Pace(ctx, s.endpoint, task, run, percent, s.fencingToken())
 		})
 		if err != nil {
-			s.loseContact(err.Error())
+			s.loseContactAfter(err)
 		}
 	}()
 }
@@ -194,7 +194,7 @@
 // handleFailedAttempt ends the contact after contactLossTries failed attempts; the response to a single one may get lost.
 func (s *Session) handleFailedAttempt(tries int, err error) {
 	if tries >= contactLossTries {
-		s.loseContact(err.Error())
+		s.loseContactAfter(err)
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -25,6 +25,8 @@
 var (
 	// ErrNotSent means that the order certainly did not reach the executor.
 	ErrNotSent = errors.New("session: order not sent")
+	// ErrRefused means that the address of the executor refuses connections. It comes with one of the errors around it.
+	ErrRefused = errors.New("session: connection refused")
 	// ErrNoResponse means that the order may have been carried out, or may be carried out later.
 	ErrNoResponse = errors.New("session: no answer")
 )
