Do not count crashes long after its start against a task

What callers would see: a job that runs for long given up because its executors crash now and then, and an executor that starts nothing beside such a task. Cause: a crash that no recent start explains counted against every task on the executor, for as long as the task ran, and made it a suspect until its end. Change: it counts only within 10 s of the start, and probation ends 10 s after the start. A suspect whose run outlasts its probation is cleared of both counts. Test: TestCrashesLongAfterTheirStartDoNotCountAgainstTasks; before, the job was given up ("executorOf(lasting) is empty" after the crashes). Ruled out: no count of late crashes at all: a task that crashes its executor half a second after its start would never be found.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -15,14 +15,16 @@
 	probationTime = 200 * time.Millisecond
 	// maxCrashes is the number of crashes under a task, the last one with no other possible cause, at which its job fails.
 	maxCrashes = 2
-	// maxLateCrashes is the number of crashes that no recent start explains from which the tasks that ran there are suspects too.
-	// They stay on probation until they end.
-	maxLateCrashes = 2
+	// maxLateCrashes is the number of crashes that no recent start explains from which the tasks that had started there within
+	// lateProbationTime are suspects too. They are on probation for that long.
+	maxLateCrashes    = 2
+	lateProbationTime = 10 * time.Second
 )
 
 // crashCounts counts the executors that crashed under a task.
 type crashCounts struct {
-	// recent are the crashes within probationTime of the start of the task, late are others for which no start was recent.
+	// recent are the crashes within probationTime of the start of the task, late are those within lateProbationTime for which no start
+	// was recent.
 	recent, late int
 }
 
@@ -31,7 +33,10 @@
 
 // onProbation reports whether the run of a placed task is a possible cause if its executor crashes at a time.
 func (t *task) onProbation(at time.Duration) bool {
-	return t.state == taskStarting || t.crashes.late >= maxLateCrashes || t.startedAt > at-probationTime
+	if t.crashes.late >= maxLateCrashes && t.startedAt > at-lateProbationTime {
+		return true
+	}
+	return t.state == taskStarting || t.startedAt > at-probationTime
 }
 
 // settled reports whether no task on the executor is on probation, so that a suspect may start there.
@@ -56,8 +61,8 @@
 		return
 	}
 	e.suspect = nil
-	if t.exec == e && t.crashes.recent > 0 {
-		t.crashes.recent = 0
+	if t.exec == e {
+		t.crashes = crashCounts{}
 		c.markRecordDirty(t.job)
 	}
 }
@@ -99,7 +104,7 @@
 		return
 	}
 	for t := range e.tasks {
-		if t.state != taskDone {
+		if t.state != taskDone && t.startedAt > at-lateProbationTime {
 			t.crashes.late++
 			c.markRecordDirty(t.job)
 		}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -239,3 +239,36 @@
 		assert.Check(t, started, "%s has not started again", task)
 	}
 }
+
+// Executors crash now and then under a task that runs for long. It must neither be given up for that nor keep other tasks off its executor.
+func TestCrashesLongAfterTheirStartDoNotCountAgainstTasks(t *testing.T) {
+	x := newCrashes(t, 3)
+	lasting := taskID("lasting", 0, 0)
+	step := batchStep(1, 500)
+	step.LongRunning = true
+	x.submit("lasting", step)
+	// The harness lets other tasks end after a second.
+	x.deadly[lasting], x.delay = true, time.Hour
+	for range 6 {
+		for range 100 {
+			x.step(200 * time.Millisecond)
+		}
+		assert.Assert(t, x.executorOf(lasting) != "")
+		x.crash(x.executorOf(lasting))
+	}
+	for range 10 {
+		x.step(200 * time.Millisecond)
+	}
+	assert.Assert(t, !x.core.jobs["lasting"].status.Final())
+	x.submit("other", batchStep(24, 500))
+	for range 3 {
+		x.step(100 * time.Millisecond)
+	}
+	beside := 0
+	for task := range x.running[x.executorOf(lasting)] {
+		if task != lasting {
+			beside++
+		}
+	}
+	assert.Assert(t, beside > 0)
+}
