Count crashes against tasks only where their time is known

What callers would see: sound jobs shown as failed after two crashes of executors by chance. Cause: crashes without an explanation and those right after a start were added up; a start that was not answered counted as recent however long ago it was ordered; and a restart was dated to the report that showed it, since contact was recorded first. Change: only crashes right after a start add up. A start counts from its order while it is not answered. A crash counts if it was seen as refused connections, or as another incarnation without a loss of contact, and at that time.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -13,7 +13,8 @@
 const (
 	// probationTime is how long after its start a run counts as a possible cause of a crash, and a suspect is alone in that.
 	probationTime = 200 * time.Millisecond
-	// maxCrashes is the number of crashes under a task, the last one with no other possible cause, at which its job fails.
+	// maxCrashes is the number of crashes right after the start of a task, the last one with no other possible cause, at which its job
+	// fails.
 	maxCrashes = 2
 	// maxLateCrashes is the number of crashes that no recent start explains from which the tasks that had started there within
 	// lateProbationTime are suspects too. They are on probation for that long.
@@ -31,12 +32,20 @@
 // suspect reports whether the task may be the cause of crashes.
 func (t *task) suspect() bool { return t.crashes.recent > 0 || t.crashes.late >= maxLateCrashes }
 
-// onProbation reports whether the run of a placed task is a possible cause if its executor crashes at a time.
-func (t *task) onProbation(at time.Duration) bool {
-	if t.crashes.late >= maxLateCrashes && t.startedAt > at-lateProbationTime {
-		return true
+// onProbation reports whether the run of a placed task is a possible cause if its executor crashes now.
+func (t *task) onProbation(now time.Duration) bool { return t.state == taskStarting || t.mayCrash(now) }
+
+// mayCrash reports whether the run of a placed task is a possible cause of a crash at a time: whether it was ordered or confirmed
+// shortly before.
+func (t *task) mayCrash(at time.Duration) bool {
+	began, probation := t.startedAt, probationTime
+	if t.state == taskStarting {
+		began = t.orderedAt
+	}
+	if t.crashes.late >= maxLateCrashes {
+		probation = lateProbationTime
 	}
-	return t.state == taskStarting || t.startedAt > at-probationTime
+	return began > at-probation
 }
 
 // settled reports whether no task on the executor is on probation, so that a suspect may start there.
@@ -67,25 +76,24 @@
 	}
 }
 
-// crashTime returns when an executor that has crashed did so, as far as the owner can tell: when it refused connections, else when it
-// last responded.
-func (e *executor) crashTime() time.Duration {
-	if !e.inContact && e.refused {
-		return e.noContactSince
+// crashTime returns when an executor that has ended or started again crashed, as far as the owner can tell: when it refused connections, or
+// after its last response if there was contact until it started again. Without contact the time is unknown.
+func (e *executor) crashTime() (at time.Duration, ok bool) {
+	if e.inContact {
+		return e.reportedAt, true
 	}
-	return e.reportedAt
+	return e.noContactSince, e.refused
 }
 
-// recordCrash counts the crash of an executor against the tasks on it that may be its cause. Their runs are gone, but they are still
-// placed. An executor that was leaving has not crashed.
-func (c *Core) recordCrash(now time.Duration, e *executor) {
+// recordCrash counts the crash of an executor at a time against the tasks on it that may be its cause. Their runs are gone, but they are
+// still placed. An executor that was leaving has not crashed.
+func (c *Core) recordCrash(now time.Duration, e *executor, at time.Duration) {
 	if e.cordoned || e.info.Draining || len(e.tasks) == 0 {
 		return
 	}
-	at := e.crashTime()
 	var causes []*task
 	for t := range e.tasks {
-		if t.state != taskDone && t.onProbation(at) {
+		if t.state != taskDone && t.mayCrash(at) {
 			causes = append(causes, t)
 		}
 	}
@@ -96,7 +104,7 @@
 			"executor": e.info.ID, "run": t.run, "crashes": t.crashes.recent, "possible_causes": len(causes),
 		})
 	}
-	if len(causes) == 1 && causes[0].crashes.recent+causes[0].crashes.late >= maxCrashes && !causes[0].job.status.Final() {
+	if len(causes) == 1 && causes[0].crashes.recent >= maxCrashes && !causes[0].job.status.Final() {
 		c.finish(now, causes[0].job, workload.StatusFailed)
 		c.addFailureDecision(now, causes[0], len(causes[0].failedRuns))
 	}
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -135,8 +135,8 @@
 	if e == nil {
 		return
 	}
-	if !e.inContact && e.refused {
-		c.recordCrash(now, e)
+	if at, ok := e.crashTime(); ok && !e.inContact {
+		c.recordCrash(now, e, at)
 	}
 	for t := range e.tasks {
 		c.addDecision(t.id.String(), "run ended with its executor", map[string]any{"executor": id, "run": t.run})
@@ -196,8 +196,8 @@
 		return
 	}
 	c.markReconciled(id)
-	if !e.inContact && e.refused {
-		c.recordCrash(now, e)
+	if at, ok := e.crashTime(); ok && !e.inContact {
+		c.recordCrash(now, e, at)
 	}
 	for t := range e.tasks {
 		if t.state == taskStarting {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -11,6 +11,7 @@
 // last end that it covers.
 func (c *Core) Report(now time.Duration, id string, r workload.Report, sentAt time.Duration, lastEnd int64) {
 	e := c.executor(now, id)
+	crashedAt, crashTimeKnown := e.crashTime()
 	e.inContact, e.reportedAt = true, now
 	if !e.reported {
 		e.reported = true
@@ -26,8 +27,8 @@
 		c.handleEnded(now, e, x)
 	}
 	restarted := e.incarnation != 0 && r.BornUnixMS != e.incarnation
-	if restarted {
-		c.recordCrash(now, e)
+	if restarted && crashTimeKnown {
+		c.recordCrash(now, e, crashedAt)
 	}
 	c.acquit(now, e)
 	for t := range e.tasks {
