--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -12,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sort"
 	"strings"
 	"sync"
 	"syscall"
@@ -54,8 +53,9 @@
 	executors []*Executor
 	nodes     []*Node
 	machines  *Machines
+	advice    *Advice
 
-	storeAddress, machineAddress string
+	storeAddress, machineAddress, adviceAddress string
 
 	mu   sync.Mutex
 	runs []*Run
@@ -73,6 +73,7 @@
 	}
 	b.Store = newStore(b.Record)
 	b.machines = &Machines{bed: b}
+	b.advice = &Advice{bed: b}
 	if b.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
@@ -82,6 +83,9 @@
 	if b.machineAddress, err = serve(b.machines.handler()); err != nil {
 		return nil, err
 	}
+	if b.adviceAddress, err = serve(b.advice.handler()); err != nil {
+		return nil, err
+	}
 	b.Record.Add("bed", "trouble: %t", b.Trouble)
 	return b, nil
 }
@@ -185,7 +189,7 @@
 	for field, value := range map[string]any{
 		"NodeName": name, "Zone": zone, "Ip": ip, "Limits.CpuShare": cpuShare, "Limits.MemoryMb": 284,
 		"BindAddrs.Frontend": n.Callers, "BindAddrs.Ready": fmt.Sprintf("%s:%d", ip, readyPort), "InternalPorts.0": internalPort,
-		"platform.Address": b.storeAddress, "CloudApi.Address": b.machineAddress, "Recommendation": "",
+		"platform.Address": b.storeAddress, "CloudApi.Address": b.machineAddress, "Recommendation": b.adviceAddress,
 		"Bounds.LeaseMs": 3000, "Bounds.StopTimeoutMs": 200, "Bounds.MaxHoldMs": 6000, "Bounds.status_s": 120, "Bounds.GraceS": 6,
 	} {
 		text = strings.ReplaceAll(text, "{{"+field+"}}", fmt.Sprint(value))
@@ -321,16 +325,22 @@
 type Queue struct {
 	Name, Host, Prefix, Service string
 	MaxAttempts, Priority       int
+	// Advised queues run only on the executors that the advice service allows.
+	Advised bool
 }
 
 // Manifest writes a manifest as the operator does.
 func (b *Bed) Manifest(version int, queues []Queue, services ...map[string]any) {
 	var routes []map[string]any
 	for _, q := range queues {
-		routes = append(routes, map[string]any{
+		route := map[string]any{
 			"Name": q.Name, "Host": q.Host, "Prefix": q.Prefix, "Service": q.Service, "TimeoutMs": 3000, "TargetCompletionMs": 600,
 			"Priority": q.Priority, "MaxAttempts": q.MaxAttempts, "SlackFactor": 2,
-		})
+		}
+		if q.Advised {
+			route["Recommendation"] = map[string]any{"DecisionMs": decisionMS, "PeriodMs": periodMS, "ValidMs": validMS}
+		}
+		routes = append(routes, route)
 	}
 	b.Store.Put("op", "config", map[string]any{
 		"Version": version, "Routes": routes, "Services": services, "Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144},
@@ -454,167 +464,3 @@
 		return ExitNotRun
 	}
 }
-
-// Machines is a stand-in of the service that moves machines and takes them down for upkeep.
-type Machines struct {
-	bed *Bed
-
-	mu sync.Mutex
-	// Silent is set while calls are carried out and get no response.
-	silent bool
-	down   map[string]time.Time
-	orders []MachineOrder
-}
-
-// MachineOrder is an order for a machine, as the platform saw it.
-type MachineOrder struct {
-	At            time.Time
-	Machine, Kind string
-	Holder, Fence string
-	Answered      bool
-}
-
-// Machines returns the machine service.
-func (b *Bed) Machines() *Machines { return b.machines }
-
-// SetSilent turns the silence on or off.
-func (m *Machines) SetSilent(on bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.silent = on
-	m.bed.Record.Add("machines", "silent: %t", on)
-}
-
-// Orders returns the orders so far.
-func (m *Machines) Orders() []MachineOrder {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]MachineOrder(nil), m.orders...)
-}
-
-func (m *Machines) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /machines", m.list)
-	mux.HandleFunc("POST /machine-move", m.order)
-	mux.HandleFunc("POST /machine-upkeep", m.order)
-	return mux
-}
-
-// await holds a call back while the service is silent. It returns false if the caller has left meanwhile.
-func (m *Machines) await(r *http.Request) bool {
-	for {
-		m.mu.Lock()
-		silent := m.silent
-		m.mu.Unlock()
-		if !silent {
-			return true
-		}
-		select {
-		case <-r.Context().Done():
-			return false
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-}
-
-func (m *Machines) list(w http.ResponseWriter, r *http.Request) {
-	if !m.await(r) {
-		return
-	}
-	m.bed.mu.Lock()
-	executors := append([]*Executor(nil), m.bed.executors...)
-	m.bed.mu.Unlock()
-	list := []map[string]any{}
-	m.mu.Lock()
-	for _, e := range executors {
-		state, id := "up", e.ID
-		if until, ok := m.down[machineOf(e)]; ok && time.Now().Before(until) {
-			state, id = "upkeep", ""
-		}
-		e.mu.Lock()
-		gone := e.gone
-		e.mu.Unlock()
-		if gone && state == "up" {
-			continue
-		}
-		list = append(list, map[string]any{
-			"Machine": machineOf(e), "Pool": e.Service, "State": state, "Zone": "z1", "Labels": []string{"a", e.Rack},
-			"Capacity": e.Capacity, "Id": id,
-		})
-	}
-	m.mu.Unlock()
-	sort.Slice(list, func(a, b int) bool { return list[a]["Machine"].(string) < list[b]["Machine"].(string) })
-	writeJSON(w, http.StatusOK, map[string]any{"Machines": list, "NextToken": ""})
-}
-
-// machineOf returns the machine of an executor, whose id is MACHINE-LIFE.
-func machineOf(e *Executor) string {
-	machine, _, _ := strings.Cut(e.ID, "-")
-	return "m" + machine
-}
-
-func (m *Machines) order(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Machine string `json:"Machine"`
-		Pool    string `json:"Pool"`
-		Wave    int    `json:"Wave"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	m.mu.Lock()
-	x := MachineOrder{
-		At: time.Now(), Machine: o.Machine, Kind: r.URL.Path, Holder: r.Header.Get("Lease-Holder"), Fence: r.Header.Get("Fencing-Token"),
-		Answered: !m.silent,
-	}
-	m.orders = append(m.orders, x)
-	m.mu.Unlock()
-	m.bed.Record.Add("machines", "%s for %s from %s, fence %s, answered: %t", x.Kind, x.Machine, x.Holder, x.Fence, x.Answered)
-	m.carryOut(o.Machine)
-	if !m.await(r) {
-		return
-	}
-	writeJSON(w, http.StatusOK, map[string]any{})
-}
-
-const maintenanceTime = 2 * time.Second
-
-// carryOut takes a machine down for its upkeep, unless that is done already.
-func (m *Machines) carryOut(machine string) {
-	m.bed.mu.Lock()
-	var found *Executor
-	for _, e := range m.bed.executors {
-		if machineOf(e) == machine {
-			found = e
-		}
-	}
-	m.bed.mu.Unlock()
-	m.mu.Lock()
-	if m.down == nil {
-		m.down = make(map[string]time.Time)
-	}
-	_, done := m.down[machine]
-	if !done && found != nil {
-		m.down[machine] = time.Now().Add(maintenanceTime)
-	}
-	m.mu.Unlock()
-	if done || found == nil {
-		return
-	}
-	found.End()
-	m.bed.Record.Add("machines", "upkeep of %s begins", machine)
-	time.AfterFunc(maintenanceTime, func() {
-		next := &Executor{ID: strings.Split(found.ID, "-")[0] + "-2", Service: found.Service, Rack: found.Rack, Capacity: found.Capacity, bed: m.bed}
-		m.bed.mu.Lock()
-		for i, e := range m.bed.executors {
-			if e == found {
-				m.bed.executors[i] = next
-			}
-		}
-		m.bed.mu.Unlock()
-		if err := next.start(); err != nil {
-			m.bed.Record.Add("machines", "executor %s cannot start: %v", next.ID, err)
-		}
-	})
-}
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -104,8 +104,20 @@
 	return nil
 }
 
-// End ends the executor with all that runs on it. Its registration is removed.
+// Crash ends the executor with all that runs on it. Its registration is removed after three heartbeats of silence.
+func (e *Executor) Crash() {
+	e.bed.Record.Add(e.ID, "crashes")
+	e.end()
+	time.AfterFunc(3*heartbeat, func() { e.bed.Store.Delete("servers", e.ID) })
+}
+
+// End ends the executor with all that runs on it and removes its registration.
 func (e *Executor) End() {
+	e.end()
+	e.bed.Store.Delete("servers", e.ID)
+}
+
+func (e *Executor) end() {
 	e.mu.Lock()
 	e.gone = true
 	for _, r := range e.runs {
@@ -117,7 +129,6 @@
 	close(e.stopBeat)
 	// The connections of an executor that has ended are reset.
 	_ = e.server.Close()
-	e.bed.Store.Delete("servers", e.ID)
 }
 
 func (e *Executor) register() {
@@ -155,6 +166,7 @@
 	LastSeen     int64  `json:"LastSeen"`
 	WaitMS       int64  `json:"WaitMs"`
 	Percent      int    `json:"Percent"`
+	Ticket       string `json:"Ticket"`
 }
 
 // serve checks the life and the fencing token that a call is meant for.
@@ -251,6 +263,9 @@
 		e.extend(o.DeadlineMS)
 		return refuse("old")
 	}
+	if !e.bed.advice.valid(o.Task, e.ID, o.Ticket) {
+		return refuse("ticket")
+	}
 	work := e.bed.work(o.Task, o.RunID)
 	if e.used.CPU+work.Size.CPU > e.Capacity.CPU || e.used.Mem+work.Size.Mem > e.Capacity.Mem || e.runs[o.Task] != nil {
 		e.extend(o.DeadlineMS)
