--- a/review/bed/machines.go
+++ b/review/bed/machines.go
@@ -172,3 +172,11 @@
 		}
 	})
 }
+
+// UpkeepBegun reports whether the upkeep of a machine has begun.
+func (m *Machines) UpkeepBegun(machine string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.down[machine]
+	return ok
+}
