--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -32,8 +34,16 @@
 	For         time.Duration
 	How         string
 	Checkpoints bool
+	// Lasts is set for tasks that last: they are at work after startup, and For is how long they would last.
+	Lasts bool
 }
 
+// startup is how long a task that lasts takes until it is at work.
+const startup = 500 * time.Millisecond
+
+// HowGone is how a run ends with its executor; all other ends are those of the users' pages.
+const HowGone = "gone"
+
 // Executor is a stand-in of one life of an executor.
 type Executor struct {
 	ID, Service, Rack string
@@ -122,7 +132,7 @@
 	e.gone = true
 	for _, r := range e.runs {
 		r.timer.Stop()
-		e.bed.Record.Add(e.ID, "run %s %d ends with its executor", r.task, r.number)
+		e.bed.ended(e, r, HowGone)
 	}
 	e.runs = make(map[string]*run)
 	e.mu.Unlock()
@@ -131,6 +141,25 @@
 	_ = e.server.Close()
 }
 
+// Restart starts another life on the machine of an executor that has ended.
+func (e *Executor) Restart() (*Executor, error) {
+	machine, life, _ := strings.Cut(e.ID, "-")
+	n, err := strconv.Atoi(life)
+	if err != nil {
+		return nil, err
+	}
+	next := &Executor{ID: fmt.Sprintf("%s-%d", machine, n+1), Service: e.Service, Rack: e.Rack, Capacity: e.Capacity, bed: e.bed}
+	e.bed.mu.Lock()
+	for i, x := range e.bed.executors {
+		if x == e {
+			e.bed.executors[i] = next
+		}
+	}
+	e.bed.mu.Unlock()
+	e.bed.Record.Add(next.ID, "starts, after %s", e.ID)
+	return next, next.start()
+}
+
 func (e *Executor) register() {
 	e.mu.Lock()
 	e.sequence++
@@ -325,6 +354,9 @@
 	running, finished := [][]any{}, [][]any{}
 	for _, r := range e.runs {
 		percent := min(99, int(100*time.Since(r.began)/r.work.For))
+		if r.work.Lasts {
+			percent = min(100, int(100*time.Since(r.began)/startup))
+		}
 		running = append(running, []any{r.task, r.number, e.saved(r), percent, r.work.Size.CPU})
 	}
 	for _, x := range e.ends[:min(len(e.ends), maxListedEnds)] {
--- a/review/bed/machines.go
+++ b/review/bed/machines.go
@@ -159,16 +159,8 @@
 	found.End()
 	m.bed.Record.Add("machines", "upkeep of %s begins", machine)
 	time.AfterFunc(maintenanceTime, func() {
-		next := &Executor{ID: strings.Split(found.ID, "-")[0] + "-2", Service: found.Service, Rack: found.Rack, Capacity: found.Capacity, bed: m.bed}
-		m.bed.mu.Lock()
-		for i, e := range m.bed.executors {
-			if e == found {
-				m.bed.executors[i] = next
-			}
-		}
-		m.bed.mu.Unlock()
-		if err := next.start(); err != nil {
-			m.bed.Record.Add("machines", "executor %s cannot start: %v", next.ID, err)
+		if _, err := found.Restart(); err != nil {
+			m.bed.Record.Add("machines", "the executor after %s cannot start: %v", found.ID, err)
 		}
 	})
 }
