review: case 1, work items run twice after a zone is cut off

A queue has been moved to another service and back; the new owner does not wait for the executors of the service in between.

--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -160,6 +160,7 @@
 	Callers string
 
 	bed      *Bed
+	proxies  []*Proxy
 	settings string
 	cmd      *exec.Cmd
 	done     chan struct{}
@@ -181,6 +182,15 @@
 		Name: name, IP: ip, CPUShare: cpuShare, Callers: fmt.Sprintf("%s:%d", ip, frontendPort), bed: b,
 		settings: filepath.Join(b.dir, name+".ini"),
 	}
+	// The host reaches the platform through proxies of its own.
+	platform := make(map[string]string)
+	for name, target := range map[string]string{"store": b.storeAddress, "machines": b.machineAddress, "advice": b.adviceAddress} {
+		p, address, err := newProxy(target)
+		if err != nil {
+			return nil, err
+		}
+		n.proxies, platform[name] = append(n.proxies, p), address
+	}
 	template, err := os.ReadFile("deploy/node.ini.tmpl")
 	if err != nil {
 		return nil, err
@@ -189,7 +199,7 @@
 	for field, value := range map[string]any{
 		"NodeName": name, "Zone": zone, "Ip": ip, "Limits.CpuShare": cpuShare, "Limits.MemoryMb": 284,
 		"BindAddrs.Frontend": n.Callers, "BindAddrs.Ready": fmt.Sprintf("%s:%d", ip, readyPort), "InternalPorts.0": internalPort,
-		"platform.Address": b.storeAddress, "CloudApi.Address": b.machineAddress, "Recommendation": b.adviceAddress,
+		"platform.Address": platform["store"], "CloudApi.Address": platform["machines"], "Recommendation": platform["advice"],
 		"Bounds.LeaseMs": 3000, "Bounds.StopTimeoutMs": 200, "Bounds.MaxHoldMs": 6000, "Bounds.status_s": 120, "Bounds.GraceS": 6,
 	} {
 		text = strings.ReplaceAll(text, "{{"+field+"}}", fmt.Sprint(value))
@@ -255,6 +265,14 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
+// CutFromPlatform cuts the host off from the platform, in both directions, or heals the cut.
+func (n *Node) CutFromPlatform(on bool) {
+	n.bed.Record.Add(n.Name, "cut off from the platform: %t", on)
+	for _, p := range n.proxies {
+		p.Cut(on)
+	}
+}
+
 // Kill kills the process and waits for its end.
 func (n *Node) Kill() {
 	n.Signal(syscall.SIGKILL)
@@ -285,6 +303,16 @@
 	return nil
 }
 
+// Epoch returns the epoch of the last lease. The fencing tokens of its holder are multiples of it.
+func (b *Bed) Epoch() uint64 {
+	var lease struct {
+		Epoch uint64 `json:"epoch"`
+	}
+	// A lease that cannot be read has epoch 0, which no holder has.
+	_ = json.Unmarshal(b.Store.Get("tamarack_owner", "lease", "lease"), &lease)
+	return lease.Epoch
+}
+
 // LastWriter returns the node that last wrote to the store under a condition as the one that acts for all: the holder in the lease.
 func (b *Bed) LastWriter() *Node {
 	var lease struct {
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -69,6 +69,8 @@
 	endedAt  map[int64]time.Time
 	noted    map[int64]time.Time
 	gone     bool
+	// reaches tells whether a call with a fencing token comes through; nil means all.
+	reaches  func(fence uint64) bool
 	server   *http.Server
 	stopBeat chan struct{}
 }
@@ -114,6 +116,21 @@
 	return nil
 }
 
+// tokensPerEpoch is the number of fencing tokens between two holders.
+const tokensPerEpoch = 1 << 20
+
+// CutFromAllBut cuts the executor off from all entry hosts but the one that holds an epoch; 0 heals the cut. Calls that do not come
+// through get no response.
+func (e *Executor) CutFromAllBut(epoch uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reaches = nil
+	if epoch != 0 {
+		e.reaches = func(fence uint64) bool { return fence/tokensPerEpoch == epoch }
+	}
+	e.bed.Record.Add(e.ID, "cut off from all but the holder of epoch %d (0: from none)", epoch)
+}
+
 // Crash ends the executor with all that runs on it. Its registration is removed after three heartbeats of silence.
 func (e *Executor) Crash() {
 	e.bed.Record.Add(e.ID, "crashes")
@@ -212,6 +229,11 @@
 		}
 		body := make(map[string]any)
 		e.mu.Lock()
+		if e.reaches != nil && !e.reaches(o.FencingToken) {
+			e.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		status := http.StatusConflict
 		if o.FencingToken < e.fence {
 			body["Reason"] = "fence"
