--- a/review/2/main.go
+++ b/review/2/main.go
@@ -48,8 +48,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := b.AwaitReady(20 * time.Second); err != nil {
-		return 0, err
+	if !await(20*time.Second, func() bool { return b.LastWriter() == owner }) {
+		return 0, fmt.Errorf("%s does not act for all", owner.Name)
 	}
 	for i, zone := range []string{"z2", "z3"} {
 		if _, err := b.AddNode(fmt.Sprintf("edge-%d", i+2), zone, 0.4); err != nil {
