--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,45 +1,50 @@
-// Command case-5 plays case 5 of the review: a queue whose tasks may run on a few executors only, and the loss of one of them.
+// Command case-5 plays case 5 of the review: a task that lasts fails while the only machine of its pool is due for upkeep.
 package main
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/tamarackworks/tamarackworks/review/bed"
 )
 
 const (
-	executors = 16
-	perRack   = 4
-	workTime  = time.Second
-	// finish and idle are the bounds of the rule.
-	finish = 14 * time.Second
-	idle   = 3 * time.Second
+	// failsAfter is how long one of the tasks runs until it fails by its own fault.
+	failsAfter = 10 * time.Second
+	// waveAfter is the time from the acceptance of the job to the request of the wave, durationS what the wave is given.
+	waveAfter = 4 * time.Second
+	durationS = 26
+	// owed is the bound of the rule: a task that lasts has to run again from 6 s after its last run, and 3 s without it break the rule.
+	owed = 9 * time.Second
+	// watched is how long the case waits for it.
+	watched = 20 * time.Second
 )
 
 var (
-	size     = bed.Size{CPU: 1000, Mem: 1000}
+	size     = bed.Size{CPU: 1500, Mem: 2000}
 	capacity = bed.Size{CPU: 16000, Mem: 32768}
 )
 
-// allowed are the executors on which the policy of the queue allows its steps: two racks hold one each, the last one two.
-var allowed = map[string]bool{"03-1": true, "14-1": true, "15-1": true}
-
 func main() { bed.Main(play) }
 
 func play(b *bed.Bed) (int, error) {
-	q := bed.Queue{Name: "q1", Host: "jobs.example", Prefix: "/q1/", Service: "s1", MaxAttempts: 4, Advised: true}
-	b.WorkOf = func(string, int) bed.Work { return bed.Work{Size: size, For: workTime, How: "done"} }
-	b.Advice().Allows = func(executor string) bool { return allowed[executor] }
-	b.Advice().Needs = func(string) bool { return true }
-	all := make([]*bed.Executor, executors)
-	for i := range all {
-		var err error
-		if all[i], err = b.AddExecutor(fmt.Sprintf("%02d-1", i), "s1", fmt.Sprintf("r%d", i/perRack), capacity); err != nil {
-			return 0, err
+	q := bed.Queue{Name: "q1", Host: "jobs.example", Prefix: "/q1/", Service: "s1", MaxAttempts: 4}
+	b.WorkOf = func(task string, run int) bed.Work {
+		if strings.HasSuffix(task, ".1") && run == 1 {
+			return bed.Work{Size: size, For: failsAfter, How: "failed", Lasts: true}
 		}
+		return bed.Work{Size: size, For: time.Hour, How: "done", Lasts: true}
+	}
+	e, err := b.AddExecutor("0-1", "s1", "r1", capacity)
+	if err != nil {
+		return 0, err
+	}
+	for i := 1; i <= 3; i++ {
+		b.AddStandbyMachine(fmt.Sprintf("%d-1", i), "r1", capacity)
 	}
-	b.Manifest(1, []bed.Queue{q}, map[string]any{"Name": "s1", "AdmissionCheck": true})
+	b.Manifest(1, []bed.Queue{q}, map[string]any{"Name": "s1", "AdmissionCheck": true},
+		map[string]any{"Name": bed.Standby, "AdmissionCheck": true, "Standby": true})
 	for i, zone := range []string{"z1", "z2", "z3"} {
 		if _, err := b.AddNode(fmt.Sprintf("edge-%d", i+1), zone, 0.4); err != nil {
 			return 0, err
@@ -49,59 +54,38 @@
 		return 0, err
 	}
 	time.Sleep(4 * time.Second)
-	var before, after []string
-	for range 3 {
-		id := bed.JobID()
-		if err := b.Submit(q, id, job()); err != nil {
-			return 0, err
-		}
-		before = append(before, id)
+	id := bed.JobID()
+	if err := b.Submit(q, id, map[string]any{"Spec": "lasts", "Steps": []any{map[string]any{
+		"Count": 4, "Cpu": size.CPU, "MemMb": size.Mem, "EstimateMs": 500, "LongRunning": true, "MayMiss": 1,
+	}}}); err != nil {
+		return 0, err
 	}
-	time.Sleep(3 * time.Second)
-	for _, id := range before {
-		if s := b.State(q, id); s != "completed" {
-			return 0, fmt.Errorf("job %s is %q before the disruption", id, s)
-		}
+	time.Sleep(waveAfter)
+	if b.Running(id) != 4 || len(b.Runs(id)) != 4 {
+		return 0, fmt.Errorf("the tasks do not run")
 	}
 	if b.Trouble {
-		all[3].Crash()
+		b.Store.Put("op", "wave/1", map[string]any{"Wave": 1, "Machines": []string{"m0"}, "DurationS": durationS, "Cap": 1})
+		b.Record.Add("operator", "wave/1 for machine m0 is confirmed")
 	}
-	time.Sleep(6 * time.Second)
-	for range 3 {
-		id := bed.JobID()
-		if err := b.Submit(q, id, job()); err != nil {
-			return 0, err
-		}
-		after = append(after, id)
-	}
-	time.Sleep(finish)
-	return judge(b, q, all, after)
-}
-
-func job() map[string]any {
-	return map[string]any{"Spec": "advised", "Steps": []any{
-		map[string]any{"Count": 2, "Cpu": size.CPU, "MemMb": size.Mem, "EstimateMs": workTime.Milliseconds()},
-	}}
+	time.Sleep(failsAfter - waveAfter + watched)
+	return judge(b, e, id+".0.0.1"), nil
 }
 
-// judge applies the rule LOST: finish after the end of the traffic, a job has nothing running for idle although the turn of its work
-// items has come and the executors that the policy allows are free.
-func judge(b *bed.Bed, q bed.Queue, all []*bed.Executor, jobs []string) (int, error) {
-	for end := time.Now().Add(idle); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		for _, e := range all {
-			if e.Used() > 0 {
-				b.Record.Add("judge", "%s is in use", e.ID)
-				return bed.ExitHeld, nil
-			}
-		}
+// judge applies what LOST says of a task that lasts.
+func judge(b *bed.Bed, e *bed.Executor, task string) int {
+	var last bed.Run
+	for _, r := range b.Runs(task) {
+		last = r
 	}
-	code := bed.ExitHeld
-	for _, id := range jobs {
-		state, runs := b.State(q, id), len(b.Runs(id))
-		b.Record.Add("judge", "job %s is %q after %s, it had %d runs; all executors were free for %s", id, state, finish+idle, runs, idle)
-		if state != "completed" {
-			code = bed.ExitBroken
-		}
+	b.Record.Add("judge", "the last run of %s began at %s and ended %s; %d of %d thousandths of a core are reserved on %s",
+		task, last.Began.Format("15:04:05.0"), last.How, e.Used(), e.Capacity.CPU, e.ID)
+	if last.Ended.IsZero() {
+		return bed.ExitHeld
+	}
+	if idle := time.Since(last.Ended); idle > owed {
+		b.Record.Add("judge", "LOST: it has not run for %.1f s", idle.Seconds())
+		return bed.ExitBroken
 	}
-	return code, nil
+	return bed.ExitHeld
 }
--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -159,13 +159,20 @@
 }
 
 // Restart starts another life on the machine of an executor that has ended.
-func (e *Executor) Restart() (*Executor, error) {
+func (e *Executor) Restart() (*Executor, error) { return e.restartIn("") }
+
+// restartIn starts another life of the machine in a pool; an empty one means that of the life before. In standby nothing starts.
+func (e *Executor) restartIn(pool string) (*Executor, error) {
+	if pool == "" {
+		pool = e.Service
+	}
 	machine, life, _ := strings.Cut(e.ID, "-")
 	n, err := strconv.Atoi(life)
 	if err != nil {
 		return nil, err
 	}
-	next := &Executor{ID: fmt.Sprintf("%s-%d", machine, n+1), Service: e.Service, Rack: e.Rack, Capacity: e.Capacity, bed: e.bed}
+	next := &Executor{ID: fmt.Sprintf("%s-%d", machine, n+1), Service: pool, Rack: e.Rack, Capacity: e.Capacity, bed: e.bed}
+	next.gone = pool == Standby
 	e.bed.mu.Lock()
 	for i, x := range e.bed.executors {
 		if x == e {
@@ -173,7 +180,10 @@
 		}
 	}
 	e.bed.mu.Unlock()
-	e.bed.Record.Add(next.ID, "starts, after %s", e.ID)
+	if next.gone {
+		return next, nil
+	}
+	e.bed.Record.Add(next.ID, "starts in %s, after %s", pool, e.ID)
 	return next, next.start()
 }
 
--- a/review/bed/machines.go
+++ b/review/bed/machines.go
@@ -16,8 +16,9 @@
 	mu sync.Mutex
 	// Silent is set while calls are carried out and get no response.
 	silent bool
-	down   map[string]time.Time
-	orders []MachineOrder
+	// down and moving hold until when a machine has its upkeep or is moved.
+	down, moving map[string]time.Time
+	orders       []MachineOrder
 }
 
 // MachineOrder is an order for a machine, as the platform saw it.
@@ -88,7 +89,12 @@
 		e.mu.Lock()
 		gone := e.gone
 		e.mu.Unlock()
-		if gone && state == "up" {
+		switch {
+		case time.Now().Before(m.moving[machineOf(e)]):
+			state, id = "moving", ""
+		case gone && e.Service == Standby:
+			id = ""
+		case gone && state == "up":
 			state, id = "down", ""
 		}
 		list = append(list, map[string]any{
@@ -125,17 +131,30 @@
 	m.orders = append(m.orders, x)
 	m.mu.Unlock()
 	m.bed.Record.Add("machines", "%s for %s from %s, fence %s, answered: %t", x.Kind, x.Machine, x.Holder, x.Fence, x.Answered)
-	m.carryOut(o.Machine)
+	m.carryOut(o.Machine, o.Pool)
 	if !m.await(r) {
 		return
 	}
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
-const maintenanceTime = 2 * time.Second
+const (
+	maintenanceTime = 2 * time.Second
+	migrateTime     = 1500 * time.Millisecond
+)
+
+// Standby is the service whose machines are off; they have no executor.
+const Standby = "standby"
+
+// AddStandbyMachine adds a machine to the standby pool.
+func (b *Bed) AddStandbyMachine(id, rack string, capacity Size) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.executors = append(b.executors, &Executor{ID: id, Service: Standby, Rack: rack, Capacity: capacity, bed: b, gone: true})
+}
 
-// carryOut takes a machine down for its upkeep, unless that is done already.
-func (m *Machines) carryOut(machine string) {
+// carryOut moves a machine to a pool, or takes it down for its upkeep if the pool is empty, unless that is done already.
+func (m *Machines) carryOut(machine, pool string) {
 	m.bed.mu.Lock()
 	var found *Executor
 	for _, e := range m.bed.executors {
@@ -146,20 +165,31 @@
 	m.bed.mu.Unlock()
 	m.mu.Lock()
 	if m.down == nil {
-		m.down = make(map[string]time.Time)
+		m.down, m.moving = make(map[string]time.Time), make(map[string]time.Time)
 	}
 	_, done := m.down[machine]
-	if !done && found != nil {
-		m.down[machine] = time.Now().Add(maintenanceTime)
+	if pool != "" {
+		done = found == nil || found.Service == pool || time.Now().Before(m.moving[machine])
+	}
+	takes := maintenanceTime
+	switch {
+	case done || found == nil:
+	case pool != "":
+		takes = migrateTime
+		m.moving[machine] = time.Now().Add(takes)
+	default:
+		m.down[machine] = time.Now().Add(takes)
 	}
 	m.mu.Unlock()
 	if done || found == nil {
 		return
 	}
-	found.End()
-	m.bed.Record.Add("machines", "upkeep of %s begins", machine)
-	time.AfterFunc(maintenanceTime, func() {
-		if _, err := found.Restart(); err != nil {
+	if found.Service != Standby {
+		found.End()
+	}
+	m.bed.Record.Add("machines", "%s is taken down, for pool %q", machine, pool)
+	time.AfterFunc(takes, func() {
+		if _, err := found.restartIn(pool); err != nil {
 			m.bed.Record.Add("machines", "the executor after %s cannot start: %v", found.ID, err)
 		}
 	})
