--- a/review/bed/executor.go
+++ b/review/bed/executor.go
@@ -64,11 +64,7 @@
 	ends       []end
 	lastEnd    int64
 	sequence   int
-	// lastSeen is the highest LastSeen of a hold, endedAt the time of each end by number.
-	lastSeen int64
-	endedAt  map[int64]time.Time
-	noted    map[int64]time.Time
-	gone     bool
+	gone       bool
 	// reaches tells whether a call with a fencing token comes through; nil means all.
 	reaches  func(fence uint64) bool
 	server   *http.Server
@@ -102,7 +98,6 @@
 	e.began, e.born = time.Now(), time.Now().UnixMilli()
 	e.changed = make(chan struct{})
 	e.runs, e.highest = make(map[string]*run), make(map[string]int)
-	e.endedAt, e.noted = make(map[int64]time.Time), make(map[int64]time.Time)
 	e.stopBeat = make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", e.serve(e.runStart))
@@ -292,7 +287,6 @@
 	e.used.Mem -= r.work.Size.Mem
 	e.lastEnd++
 	e.ends = append(e.ends, end{e.lastEnd, r.task, r.number, how, e.saved(r)})
-	e.endedAt[e.lastEnd] = time.Now()
 	e.bed.ended(e, r, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -362,12 +356,6 @@
 func (e *Executor) pace(*order, map[string]any) int { return http.StatusOK }
 
 func (e *Executor) hold(o *order, body map[string]any) int {
-	if o.LastSeen > e.lastSeen {
-		for n := e.lastSeen + 1; n <= min(o.LastSeen, e.lastEnd); n++ {
-			e.noted[n] = time.Now()
-		}
-		e.lastSeen = o.LastSeen
-	}
 	for len(e.ends) > 0 && e.ends[0].number <= o.LastSeen {
 		e.ends = e.ends[1:]
 	}
@@ -404,20 +392,3 @@
 	defer e.mu.Unlock()
 	return e.used.CPU
 }
-
-// UnnotedEnds returns how many ends the executor has listed for longer than a time without a hold that acknowledges them, and how
-// many ends there are.
-func (e *Executor) UnnotedEnds(longer time.Duration) (unnoted, all int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for n, at := range e.endedAt {
-		noted, ok := e.noted[n]
-		if !ok {
-			noted = time.Now()
-		}
-		if noted.Sub(at) > longer {
-			unnoted++
-		}
-	}
-	return unnoted, len(e.endedAt)
-}
--- a/review/bed/machines.go
+++ b/review/bed/machines.go
@@ -14,37 +14,8 @@
 	bed *Bed
 
 	mu sync.Mutex
-	// Silent is set while calls are carried out and get no response.
-	silent bool
 	// down and moving hold until when a machine has its upkeep or is moved.
 	down, moving map[string]time.Time
-	orders       []MachineOrder
-}
-
-// MachineOrder is an order for a machine, as the platform saw it.
-type MachineOrder struct {
-	At            time.Time
-	Machine, Kind string
-	Holder, Fence string
-	Answered      bool
-}
-
-// Machines returns the machine service.
-func (b *Bed) Machines() *Machines { return b.machines }
-
-// SetSilent turns the silence on or off.
-func (m *Machines) SetSilent(on bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.silent = on
-	m.bed.Record.Add("machines", "silent: %t", on)
-}
-
-// Orders returns the orders so far.
-func (m *Machines) Orders() []MachineOrder {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return append([]MachineOrder(nil), m.orders...)
 }
 
 func (m *Machines) handler() http.Handler {
@@ -55,27 +26,7 @@
 	return mux
 }
 
-// await holds a call back while the service is silent. It returns false if the caller has left meanwhile.
-func (m *Machines) await(r *http.Request) bool {
-	for {
-		m.mu.Lock()
-		silent := m.silent
-		m.mu.Unlock()
-		if !silent {
-			return true
-		}
-		select {
-		case <-r.Context().Done():
-			return false
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-}
-
-func (m *Machines) list(w http.ResponseWriter, r *http.Request) {
-	if !m.await(r) {
-		return
-	}
+func (m *Machines) list(w http.ResponseWriter, _ *http.Request) {
 	m.bed.mu.Lock()
 	executors := append([]*Executor(nil), m.bed.executors...)
 	m.bed.mu.Unlock()
@@ -123,18 +74,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	m.mu.Lock()
-	x := MachineOrder{
-		At: time.Now(), Machine: o.Machine, Kind: r.URL.Path, Holder: r.Header.Get("Lease-Holder"), Fence: r.Header.Get("Fencing-Token"),
-		Answered: !m.silent,
-	}
-	m.orders = append(m.orders, x)
-	m.mu.Unlock()
-	m.bed.Record.Add("machines", "%s for %s from %s, fence %s, answered: %t", x.Kind, x.Machine, x.Holder, x.Fence, x.Answered)
+	m.bed.Record.Add("machines", "%s for %s from %s, fence %s", r.URL.Path, o.Machine, r.Header.Get("Lease-Holder"), r.Header.Get("Fencing-Token"))
 	m.carryOut(o.Machine, o.Pool)
-	if !m.await(r) {
-		return
-	}
 	writeJSON(w, http.StatusOK, map[string]any{})
 }
 
@@ -194,11 +135,3 @@
 		}
 	})
 }
-
-// UpkeepBegun reports whether the upkeep of a machine has begun.
-func (m *Machines) UpkeepBegun(machine string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	_, ok := m.down[machine]
-	return ok
-}
--- a/review/bed/store.go
+++ b/review/bed/store.go
@@ -81,13 +81,6 @@
 	return s.rows[rowKey{table, part, key}].Value
 }
 
-// Refused returns the number of transactions that were over the limits.
-func (s *Store) Refused() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refused
-}
-
 // apply applies a transaction under one new version. The caller holds the lock.
 func (s *Store) apply(puts, removes []Row) {
 	s.ver++
