Log what long-running tasks of a pool wait for

Cause: not known yet. Four causes fit the case: nothing counts the task as waiting; it is counted, and no machine is asked for; an order for a machine is refused; or the executor is avoided after the failure. The log shows orders and starts, but neither that a long-running task waits nor that the executors of its pool are cordoned, so the first two look the same.

Change: the line "machines of a pool" has the machines that are cordoned, the long-running tasks without an executor and what those that wait reserve; a gauge has the sum of the tasks. No decision changes. Tests of coordinator and operator pass.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -13,16 +13,25 @@
 const usageLogInterval = time.Second
 
 // poolUsage counts the machines of a pool by state. Arriving machines are moving in, or their executor has not
-// registered yet.
-type poolUsage struct{ busy, idle, arriving, maintenance, standby int }
+// registered yet. Cordoned machines are also counted as busy or idle.
+type poolUsage struct {
+	busy, idle, arriving, maintenance, standby, cordoned int
+	// unplaced is the number of long-running tasks for which no executor was found, longRunningCPU what all that wait reserve, in
+	// thousandths of a core.
+	unplaced       int
+	longRunningCPU int64
+}
 
-// countMachines counts the machines of each pool by state. Machines that are down are not counted.
+// countMachines counts the machines of each pool by state, and what waits for them. Machines that are down are not counted.
 func countMachines(s pools.Snapshot) map[string]poolUsage {
 	standby := make(map[string]bool)
+	usage := make(map[string]poolUsage)
 	for _, p := range s.Pools {
 		standby[p.Name] = p.Standby
+		if p.Unplaced > 0 || p.LongRunning > 0 {
+			usage[p.Name] = poolUsage{unplaced: p.Unplaced, longRunningCPU: p.LongRunning}
+		}
 	}
-	usage := make(map[string]poolUsage)
 	for i := range s.Machines {
 		m := &s.Machines[i]
 		u := usage[m.Pool]
@@ -42,6 +51,9 @@
 		default:
 			u.idle++
 		}
+		if m.Cordoned && m.State == workload.MachineUp {
+			u.cordoned++
+		}
 		usage[m.Pool] = u
 	}
 	return usage
@@ -72,6 +84,7 @@
 		if u != l.machines.loggedUsage[pool] {
 			l.log.WithFields(log.Fields{
 				"pool": pool, "busy": u.busy, "idle": u.idle, "coming": u.arriving, "upkeep": u.maintenance, "standby": u.standby,
+				"cordoned": u.cordoned, "unplaced": u.unplaced, "long_running_cpu_milli": u.longRunningCPU,
 			}).Info("machines of a pool")
 		}
 	}
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -21,6 +21,7 @@
 	eventsWaiting prometheus.Gauge
 	passes        prometheus.Counter
 	backlog       prometheus.Gauge
+	unplaced      prometheus.Gauge
 	lag           prometheus.Gauge
 	waits         *prometheus.CounterVec
 	machineTime   *prometheus.CounterVec
@@ -63,6 +64,9 @@
 		backlog: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tamarack_backlog_core_seconds", Help: "Estimated work of ready tasks that wait for room.",
 		}),
+		unplaced: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "tamarack_unplaced_long_running_tasks", Help: "Long-running tasks for which no executor was found.",
+		}),
 		lag: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tamarack_owner_lag_seconds", Help: "How late timers of the owner fire, with decay.",
 		}),
@@ -74,7 +78,7 @@
 		}, []string{"state"}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.lag, m.waits, m.machineTime)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime)
 	return m
 }
 
@@ -103,9 +107,12 @@
 	m.eventsWaiting.Set(float64(waiting))
 	m.lag.Set(lag.Seconds())
 	var sum int64
+	unplaced := 0
 	for _, d := range core.Demands(now) {
 		sum += d.Waiting + d.Late + d.TooLate
+		unplaced += d.Unplaced
 	}
+	m.unplaced.Set(float64(unplaced))
 	m.backlog.Set(float64(sum) / 1000)
 	m.countWaits(core)
 }
