Count long-running tasks without an executor also while none accepts tasks

Cause: Core.scheduleService counts the tasks without an executor while it places them, and left the placing out if no executor accepted tasks, for example because a wave had cordoned the only machine of the pool. The count stayed 0, and PlanMoves moved no machine.

Change: the pass is made without executors too; jobs without long-running tasks still end it at once. Why it works: the count is now that of the tasks that found no executor, whatever the reason, and one machine is moved while it is above 0.

Tests, failing before the change: TestLongRunningTasksAreUnplacedWhileNoExecutorAcceptsTasks: 0 (Unplaced) != 1 TestLongRunningTasksAreUnplacedWithoutExecutors: Unplaced is <= 0

--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -197,3 +197,27 @@
 	h.advance(100 * time.Millisecond)
 	assert.Equal(t, h.core.Demands(h.now)[service].Unplaced, 0)
 }
+
+// Guards against a long-running task that never starts again: it failed while all executors of its service were cordoned, so that no
+// pass looked for one, and no machine was moved to the pool.
+func TestLongRunningTasksAreUnplacedWhileNoExecutorAcceptsTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", workload.Step{Count: 4, Size: workload.Resources{CPUMilli: 500}, LongRunning: true, MaxUnavailable: 1})
+	h.reportServing()
+	h.core.Cordon(h.now, "x0", true)
+	h.end(taskID("j", 0, 1), workload.EndFailed)
+	h.advance(5 * time.Second)
+	assert.Equal(t, h.core.Demands(h.now)[service].Unplaced, 1)
+	h.addExecutor("x1", size)
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, h.core.Demands(h.now)[service].Unplaced, 0)
+	assert.Equal(t, h.executorOf(taskID("j", 0, 1)), "x1")
+}
+
+// Guards against long-running tasks that wait for ever because their pool has no executor at all.
+func TestLongRunningTasksAreUnplacedWithoutExecutors(t *testing.T) {
+	h := newHarness(t, 0)
+	h.submit("j", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 500}, LongRunning: true})
+	h.advance(time.Second)
+	assert.Assert(t, h.core.Demands(h.now)[service].Unplaced > 0)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -30,14 +30,12 @@
 	clock.advance(now)
 	reconciled := c.serviceReconciled(service)
 	p := &placement{core: c, now: now, candidates: c.acceptingExecutors(now, service), unreportedUse: unreportedUse}
-	queue := c.waitingJobs(now, arrivedBy, service, reconciled)
-	if len(p.candidates) > 0 {
-		p.placeJobs(queue)
-	}
+	p.placeJobs(c.waitingJobs(now, arrivedBy, service, reconciled))
 	clock.setCause(c.waitCause(p, service, reconciled))
 }
 
-// placeJobs places the ready tasks of waiting jobs by rank, until no executor has room for any of them.
+// placeJobs places the ready tasks of waiting jobs by rank, until no executor has room for any of them. Long-running tasks are
+// tried even without candidates, because those that are not placed are counted, and machines are moved for them.
 func (p *placement) placeJobs(queue *jobQueue) {
 	for len(queue.jobs) > 0 {
 		j := queue.next()
