Log the services that a new owner knows nothing of when it starts an inherited task

Cause: not known yet. The new owner may start them although it waits for the executor that runs them (a), not know that this executor may run them (b: no record, or a record of another service), take them for gone there (c: a record that names other tasks), or count its leases as expired (d). The line "task starts" shows none of that.

Change: for a task of an inherited job, "task starts" names the services of executors that have not reported yet, and the version of the configuration with which the job was accepted, while there are such executors. No decision changes; nothing is ruled out yet. Tests of scheduler pass.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -369,7 +370,20 @@
 	c.commands = append(c.commands, StartTask{
 		Executor: e.info.ID, Task: t.id, Run: run, Payload: t.job.spec.Payload, Checkpoint: t.checkpoint, Permit: permit,
 	})
-	c.addDecision(t.id.String(), "task starts", map[string]any{
+	fields := map[string]any{
 		"executor": e.info.ID, "run": run, "free_cpu_milli": e.free().CPUMilli, "config": c.config.Version, "epoch": c.opts.Epoch,
-	})
+	}
+	if t.job.inherited && len(c.unreconciled) > 0 {
+		fields["accepted_config"], fields["unreconciled"] = t.job.spec.ConfigVersion, c.unreconciledServices()
+	}
+	c.addDecision(t.id.String(), "task starts", fields)
+}
+
+// unreconciledServices returns the services of unreconciled executors, in order.
+func (c *Core) unreconciledServices() []string {
+	services := make(map[string]bool)
+	for _, s := range c.unreconciled {
+		services[s.service] = true
+	}
+	return slices.Sorted(maps.Keys(services))
 }
