Wait for all services that the queue of an inherited job may have had

Cause: Core.waitingJobs let an inherited job start once the executors of one service were reconciled, if that service is the one with which the job was accepted. In between the queue had another service, and its tasks run on executors of that one.

Change: one service is enough only if the configuration that the new owner loads is not newer than that with which the job was accepted. Why it works: versions only rise, and a former owner acts on no newer configuration than the new one loads, so the queue cannot have had another service. Decided once, when the job is loaded: what comes later is this owner's own doing.

Test, failing before the change: TestInheritedTasksWaitForServicesThatTheirQueueMayHaveHad: 2 starts != 1. It also holds that a job accepted with the loaded configuration does not wait longer than before.

Related paths: a queue that has moved away was right already (its own test); executor records that name tasks hold for all services; a change of the configuration after the takeover does not matter (in the test).

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -166,6 +166,10 @@
 		j.occurrence(0)
 	}
 	c.applyRoute(j)
+	if inherited && j.service == spec.Service && c.config.Version <= spec.ConfigVersion {
+		// The configuration is at least as new as any that an earlier owner has acted on.
+		j.onlyService = spec.Service
+	}
 	if !inherited {
 		c.countArrival(j)
 		j.beyondShare = !j.organisation.takeToken(now)
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -365,6 +365,35 @@
 	assert.Equal(t, len(h.starts), 1)
 }
 
+// Guards against a task that runs twice: since its job was accepted, its queue has gone to another service and back, and a new owner
+// does not know yet what the executors of that service run.
+func TestInheritedTasksWaitForServicesThatTheirQueueMayHaveHad(t *testing.T) {
+	h := newHarness(t, 1)
+	config := *h.core.config
+	config.Version = 3
+	h.core.Configure(h.now, &config)
+	h.core.PutExecutor(h.now, workload.Executor{ID: "old", Service: "other", Capacity: size, Kind: "a", Rack: "r"})
+	h.core.AddUnreconciled(h.now, "old", "other", nil)
+	for id, configVersion := range map[string]uint64{"before": 1, "since": 3} {
+		assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
+			ID: id, Route: "queue", Service: service, ConfigVersion: configVersion,
+			Steps: []workload.Step{batchStep(1, 1000), batchStep(1, 1000, 0)},
+		}, nil, 0, true))
+	}
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 1)
+	assert.Equal(t, h.starts[0].Task, taskID("since", 0, 0), "its queue cannot have had another service")
+	// Configurations that come after the takeover do not change what the earlier owner may have started.
+	config.Version = 4
+	h.core.Configure(h.now, &config)
+	h.end(taskID("since", 0, 0), workload.EndDone)
+	assert.Equal(t, len(h.starts), 2)
+	assert.Equal(t, h.starts[1].Task, taskID("since", 1, 0))
+	h.core.ExpireLeases(h.now, "old")
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 3)
+}
+
 // Guards against progress that is lost when a record is stored and restored.
 func TestRecordsRestoreProgress(t *testing.T) {
 	h := newHarness(t, 2)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -89,13 +89,13 @@
 }
 
 // waitingJobs returns the jobs of a service with ready tasks, and begins or ends the waits of the service's jobs. Left out are
-// jobs that arrived after arrivedBy, and inherited ones unless reconciled is set, which says that no executor may run unknown
-// tasks of the service for an earlier owner. Tasks of a queue that has moved to the service may run on executors of any other.
+// jobs that arrived after arrivedBy, and inherited ones whose tasks may run on executors that have not reported. reconciled says
+// that there are no such executors of the service.
 func (c *Core) waitingJobs(now, arrivedBy time.Duration, service string, reconciled bool) *jobQueue {
 	q := &jobQueue{}
 	allReconciled := reconciled && c.allReconciled()
 	for j := range c.activeJobs[service] {
-		settled := !j.inherited || allReconciled || (reconciled && j.spec.Service == service)
+		settled := !j.inherited || allReconciled || (reconciled && j.onlyService == service)
 		if j.arrived > arrivedBy || !settled {
 			j.beginWait(c.waitClock(service))
 			continue
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -160,6 +160,9 @@
 	submitted time.Duration
 	// inherited is set if the job was accepted before this owner took over. Its tasks may run on unreconciled executors.
 	inherited bool
+	// onlyService is the one service on whose executors an earlier owner can have started tasks of an inherited job. It is empty if
+	// there may be others.
+	onlyService string
 	// started is set once a task was started or had been started under an earlier owner.
 	started bool
 	status  workload.Status
