Move a machine to a pool whose tasks cannot leave a cordoned one

Cause: evacuation stops a long-running task only if another executor has room for it, and nothing asked for one.

Ruled out: room that is only late to be freed. The count takes only tasks that their availability bound lets go now.

Change: Demand.Confined counts these tasks; PlanMoves brings one machine at a time for them as for tasks without an executor, and PlanWaves cordons no further machine of the pool meanwhile. They are in the line "machines of a pool".

Tests, failing before the change (the fields did not exist; without the count the wave never empties the executor): TestLongRunningTasksThatCannotLeaveACordonedExecutorAreReported, TestTasksConfinedToACordonedMachineBringAMachine.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -16,10 +16,10 @@
 // registered yet. Cordoned machines are also counted as busy or idle.
 type poolUsage struct {
 	busy, idle, arriving, maintenance, standby, cordoned int
-	// unplaced is the number of long-running tasks for which no executor was found, longRunningCPU what all that wait reserve, in
-	// thousandths of a core.
-	unplaced       int
-	longRunningCPU int64
+	// unplaced is the number of long-running tasks for which no executor was found, confined that of those that cannot leave a
+	// cordoned one, longRunningCPU what all that wait reserve, in thousandths of a core.
+	unplaced, confined int
+	longRunningCPU     int64
 }
 
 // countMachines counts the machines of each pool by state, and what waits for them. Machines that are down are not counted.
@@ -28,8 +28,8 @@
 	usage := make(map[string]poolUsage)
 	for _, p := range s.Pools {
 		standby[p.Name] = p.Standby
-		if p.Unplaced > 0 || p.LongRunning > 0 {
-			usage[p.Name] = poolUsage{unplaced: p.Unplaced, longRunningCPU: p.LongRunning}
+		if p.Unplaced > 0 || p.Confined > 0 || p.LongRunning > 0 {
+			usage[p.Name] = poolUsage{unplaced: p.Unplaced, confined: p.Confined, longRunningCPU: p.LongRunning}
 		}
 	}
 	for i := range s.Machines {
@@ -84,7 +84,7 @@
 		if u != l.machines.loggedUsage[pool] {
 			l.log.WithFields(log.Fields{
 				"pool": pool, "busy": u.busy, "idle": u.idle, "coming": u.arriving, "upkeep": u.maintenance, "standby": u.standby,
-				"cordoned": u.cordoned, "unplaced": u.unplaced, "long_running_cpu_milli": u.longRunningCPU,
+				"cordoned": u.cordoned, "unplaced": u.unplaced, "confined": u.confined, "long_running_cpu_milli": u.longRunningCPU,
 			}).Info("machines of a pool")
 		}
 	}
--- a/pools/moves.go
+++ b/pools/moves.go
@@ -156,7 +156,7 @@
 		if missing := state.Spread - state.machines - state.inTransit; missing > 0 {
 			state.shortfall = max(state.shortfall, float64(missing)*state.machineCPU)
 		}
-		if state.Unplaced > 0 && state.inTransit == 0 {
+		if state.Unplaced+state.Confined > 0 && state.inTransit == 0 {
 			// Requests one machine at a time, since it may take several of the tasks.
 			state.shortfall = max(state.shortfall, state.machineCPU)
 		}
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -83,6 +83,8 @@
 	// Unplaced is the number of long-running tasks for which the scheduler found no executor. There may be free CPU, on
 	// executors that spread limits rule out or that are to leave.
 	Unplaced int
+	// Confined is the number of long-running tasks that can leave a cordoned machine only for another machine.
+	Confined int
 	// Spread is the number of machines that the spread limits of long-running steps require.
 	Spread int
 }
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -95,6 +95,14 @@
 	assert.Equal(t, len(PlanMoves(s, NewArrivals()).Actions), 0, "a machine is on its way")
 }
 
+// Guards against a wave that waits for ever for long-running tasks that have no other machine in their pool.
+func TestTasksConfinedToACordonedMachineBringAMachine(t *testing.T) {
+	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Confined: 1}, {Name: "off", Standby: true}}}
+	s.Machines = append(s.Machines, machine("a0", "a", 4), standbyMachine("s0"), standbyMachine("s1"))
+	s.Machines[0].Cordoned = true
+	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 1})
+}
+
 // Guards against moving a machine on which a task runs.
 func TestBusyMachinesStay(t *testing.T) {
 	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Waiting: 50000}, {Name: "b"}}}
--- a/pools/waves.go
+++ b/pools/waves.go
@@ -134,12 +134,12 @@
 	return q.finite >= 0
 }
 
-// hasUnplaced reports whether a pool has long-running tasks that no executor can take. Cordoning another machine of the pool
-// would make that worse.
+// hasUnplaced reports whether a pool has long-running tasks that no executor can take, waiting or on a cordoned machine. Cordoning
+// another machine of the pool would make that worse.
 func (s *Snapshot) hasUnplaced(pool string) bool {
 	for _, p := range s.Pools {
 		if p.Name == pool {
-			return p.Unplaced > 0
+			return p.Unplaced+p.Confined > 0
 		}
 	}
 	return false
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -17,6 +17,8 @@
 	// executors that MaxPerExecutor or a cordon rules out. A step without MaxPerExecutor mostly counts once, because the
 	// pass does not try its other tasks.
 	Unplaced int
+	// Confined counts the long-running tasks on cordoned executors that may be stopped but fit on no other executor.
+	Confined int
 	// Spread is the number of executors that long-running steps need because of MaxPerExecutor; the largest step counts.
 	Spread int
 }
@@ -29,7 +31,7 @@
 	}
 	for service, jobs := range c.activeJobs {
 		d := demands[service]
-		d.Unplaced = c.unplaced[service]
+		d.Unplaced, d.Confined = c.unplaced[service], c.confinedTasks(now, service)
 		for j := range jobs {
 			waiting := d.waitingWork(rankOf(now, j).class)
 			for _, o := range j.occs {
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// confinedTasks counts the long-running tasks on cordoned executors of a service that evacuate would stop if another executor had
+// room for them.
+func (c *Core) confinedTasks(now time.Duration, service string) int {
+	n := 0
+	for _, e := range c.members[service] {
+		if !e.cordoned {
+			continue
+		}
+		for t := range e.tasks {
+			if t.state == taskRunning && t.step.spec.LongRunning && c.mayStop(t) && !c.fitsElsewhere(now, t) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // mayStop reports whether stopping a task keeps its step within MaxUnavailable. The task itself counts as serving, because it
 // may have begun to serve since the last report.
 func (c *Core) mayStop(t *task) bool {
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -221,3 +221,27 @@
 	h.advance(time.Second)
 	assert.Assert(t, h.core.Demands(h.now)[service].Unplaced > 0)
 }
+
+// Guards against a wave that never ends: the long-running tasks of a cordoned executor have no other executor, nothing asks for
+// one, and none of them leaves.
+func TestLongRunningTasksThatCannotLeaveACordonedExecutorAreReported(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", workload.Step{Count: 3, Size: workload.Resources{CPUMilli: 500}, LongRunning: true, MaxUnavailable: 1})
+	h.reportServing()
+	h.core.Cordon(h.now, "x0", true)
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, len(h.stops), 0)
+	assert.Assert(t, h.core.Demands(h.now)[service].Confined > 0)
+	h.addExecutor("x1", size)
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+		assert.Equal(t, h.core.Demands(h.now)[service].Confined, 0)
+		for _, stop := range h.stops {
+			if h.executorOf(stop.Task) == "x0" {
+				h.end(stop.Task, workload.EndStopped)
+			}
+		}
+		h.reportServing()
+	}
+	assert.Assert(t, h.core.Idle("x0"))
+}
