Take the ended runs from responses that come late

Cause: a session ended a hold 0.5 s after the time that it had asked the executor to wait, and dropped its response. On a full link responses take seconds: the executor had listed the ends, the owner did not read the list, counted the leases as expired, and started the tasks again. Ending the call also closed its connection, which costs the full link another one.

Change: the time-out still ends the contact.

Tests, failing before the change: TestTasksWhoseEndsAreListedLateRunOnce: 12 starts != 8; TestEndsInLateResponsesAreReported and TestEndsListedLateCompleteTasks need the new event. TestLateResponsesOfFormerIncarnationsAreIgnored holds what the new path must not do. The random events of TestStartsKeepTheRulesAfterAnyEvents have late ends; 2,000 checks pass.

That this is what the users saw is suspected, not shown.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -38,11 +38,13 @@
 	ctx  context.Context
 	log  log.Interface
 
-	core      *scheduler.Core
-	events    chan any
-	queries   chan func(*scheduler.Core)
-	sessions  map[string]*session.Session
-	losses    *session.LossMonitor
+	core     *scheduler.Core
+	events   chan any
+	queries  chan func(*scheduler.Core)
+	sessions map[string]*session.Session
+	losses   *session.LossMonitor
+	// lateHolds limits the holds whose late response is awaited.
+	lateHolds *session.LateHolds
 	tokens    *session.Tokens
 	lag       *elapsed.Lag
 	endpoints map[string]session.Endpoint
@@ -106,7 +108,7 @@
 		core:     scheduler.New(scheduler.Options{Epoch: term.Epoch, Retention: opts.Retention, StopTimeout: opts.StopTimeout}),
 		events:   make(chan any, eventBuffer),
 		queries:  make(chan func(*scheduler.Core)),
-		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), tokens: session.NewTokens(term.Epoch),
+		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
 		lag:        elapsed.NewLag(ctx),
 		endpoints:  make(map[string]session.Endpoint),
 		jobRecords: make(map[string]storedJobRecord), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
@@ -187,6 +189,10 @@
 		if s := l.sessions[e.Executor]; s != nil {
 			s.SetWait(l.core.PollWait(e.Executor))
 		}
+	case session.ReportedLate:
+		l.opts.Metrics.countEnds(e.Ended)
+		l.log.WithFields(log.Fields{"executor": e.Executor, "ended": len(e.Ended)}).Info("ended runs listed late")
+		l.core.ReportEnds(now, e.Executor, e.BornUnixMS, e.Ended, e.LastEnd)
 	case session.ContactLost:
 		l.log.WithFields(log.Fields{"executor": e.Executor, "reason": e.Reason}).Warn("contact with executor lost")
 		l.core.LoseContact(now, e.Executor, e.Refused)
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -89,7 +89,11 @@
 
 func (m *Metrics) countReport(r workload.Report) {
 	m.reports.Inc()
-	for _, e := range r.Ended {
+	m.countEnds(r.Ended)
+}
+
+func (m *Metrics) countEnds(ended []workload.EndedTask) {
+	for _, e := range ended {
 		m.ends.WithLabelValues(string(e.Outcome)).Inc()
 	}
 }
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -203,7 +203,7 @@
 	l.endpoints[id] = session.Endpoint{ID: id, Address: address}
 	l.sessions[id] = session.New(l.ctx, l.endpoints[id], session.Options{
 		Client: l.opts.Executors, Tokens: l.tokens, Lease: session.DefaultLease, MaxLease: l.opts.MaxLease,
-		InheritedLease: record.maxInheritedLease(), Now: l.opts.Now, Losses: l.losses, Lag: l.lag.Value,
+		InheritedLease: record.maxInheritedLease(), Now: l.opts.Now, Losses: l.losses, LateHolds: l.lateHolds, Lag: l.lag.Value,
 		Owns: l.opts.OwnsJobs, MayContinue: l.opts.MayContinue,
 		Emit: func(e session.Event) { l.emit(e) },
 	})
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -339,3 +339,23 @@
 	c.checkViolations()
 
 }
+
+// Guards against tasks that run twice because the owner receives the responses of the executors, which list the ends of the first
+// runs, later than it waits for them.
+func TestTasksWhoseEndsAreListedLateRunOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 1, 2)
+		c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 2 * time.Second, workload.EndDone })
+		c.submit("j", plainStep(8))
+		time.Sleep(time.Second)
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 8)
+		c.fleet.SetResponseTimeOf("x0", 3*time.Second)
+		time.Sleep(15 * time.Second)
+		c.fleet.SetResponseTimeOf("x0", 2*time.Millisecond)
+		c.awaitAll([]string{"j"}, workload.StatusCompleted, 10*time.Second)
+		starts, _ = c.fleet.Counts()
+		assert.Equal(t, starts, 8)
+		c.checkViolations()
+	})
+}
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -132,6 +132,15 @@
 	h.t.Fatalf("%s runs nowhere", task)
 }
 
+// endLate ends the run of a task on an executor that lists the end in a late response.
+func (h *harness) endLate(id string, task workload.TaskID, outcome workload.End) {
+	x := h.running[id][task]
+	delete(h.running[id], task)
+	h.ends[id]++
+	h.core.ReportEnds(h.now, id, 1, []workload.EndedTask{{Number: h.ends[id], Task: task, Run: x.Run, Outcome: outcome}}, h.ends[id])
+	h.runCommands()
+}
+
 // reportServing reports all tasks at 100 percent, at which long-running ones serve.
 func (h *harness) reportServing() {
 	for id, tasks := range h.running {
@@ -512,3 +521,21 @@
 	h.core.Committed(commit, 1)
 	assert.Assert(t, h.core.ForgetExecutor("x0"))
 }
+
+// Guards against a task that starts again although a late response of its silent executor has listed that it is done.
+func TestEndsListedLateCompleteTasks(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", batchStep(1, 1000))
+	task := taskID("j", 0, 0)
+	id := h.executorOf(task)
+	h.core.LoseContact(h.now, id, false)
+	h.endLate(id, task, workload.EndDone)
+	h.core.ExpireLeases(h.now, id)
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts), 1)
+	commit := h.core.TakeCommit(40)
+	assert.Equal(t, commit.Ends[id].Number, int64(1), "the end is acknowledged once it is stored")
+	h.core.Committed(commit, 1)
+	status, _ := h.core.Status("j")
+	assert.Equal(t, status, workload.StatusCompleted)
+}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -122,6 +122,19 @@
 	m.report(id)
 }
 
+// endRunLate ends a run on an executor without contact, which lists the end in a late response.
+func (m *model) endRunLate(rt *rapid.T) {
+	id := drawKey(rt, m.unreachable, "silent")
+	tasks := make(map[string]workload.TaskID)
+	for task := range m.running[id] {
+		tasks[task.String()] = task
+	}
+	task := tasks[drawKey(rt, tasks, "task")]
+	outcome := rapid.SampledFrom([]workload.End{workload.EndDone, workload.EndFailed}).Draw(rt, "how")
+	m.recordEnd(task, outcome)
+	m.endLate(id, task, outcome)
+}
+
 // expireLeases lets the leases of an executor without contact expire, so that nothing runs there any more.
 func (m *model) expireLeases(rt *rapid.T) {
 	id := drawKey(rt, m.unreachable, "silent")
@@ -267,7 +280,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		m := newModel(rt)
 		rt.Repeat(map[string]func(*rapid.T){
-			"submit": m.submitJob, "end": m.endRun, "end again": m.endRun, "report": m.reportOne, "silence": m.loseContact,
+			"submit": m.submitJob, "end": m.endRun, "end again": m.endRun, "end late": m.endRunLate, "report": m.reportOne, "silence": m.loseContact,
 			"lapse": m.expireLeases, "replace": m.replace, "crash": m.crash, "cancel": m.cancelJob, "pass": m.advanceTime, "": m.check,
 		})
 		m.finish(rt)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -58,6 +58,22 @@
 	c.adjustPace(now, e)
 }
 
+// ReportEnds handles ended runs that an executor listed in a response that came late. Unlike a report, it proves neither contact nor
+// what runs now.
+func (c *Core) ReportEnds(now time.Duration, id string, bornUnixMS int64, ended []workload.EndedTask, lastEnd int64) {
+	e := c.executors[id]
+	if e == nil || e.incarnation != bornUnixMS {
+		return
+	}
+	for _, x := range ended {
+		c.handleEnded(now, e, x)
+	}
+	e.lastEnd = max(e.lastEnd, lastEnd)
+	if e.lastEnd > e.ackedEnd {
+		c.acksPending = true
+	}
+}
+
 // absent reports whether a report that was requested at sentAt and does not show the run proves that the run is gone. It proves
 // nothing while the outcome of the start is unknown, because the start may still be carried out, or if the last order was
 // answered after the request, because the report may not reflect it. While a stop has no answer, it is a proof only after a
--- a/session/events.go
+++ b/session/events.go
@@ -23,6 +23,16 @@
 	LastEnd int64
 }
 
+// ReportedLate carries the ended runs of a response that came after its time-out, without those that an earlier event carried.
+type ReportedLate struct {
+	Executor string
+	// BornUnixMS identifies the incarnation of the executor.
+	BornUnixMS int64
+	Ended      []workload.EndedTask
+	// LastEnd is as in Reported.
+	LastEnd int64
+}
+
 // ContactLost means that the executor is not in contact any more: it does not respond, has refused a hold, or may not be
 // called without confirmed ownership.
 type ContactLost struct {
@@ -65,6 +75,8 @@
 
 func (e Reported) executor() string { return e.Executor }
 
+func (e ReportedLate) executor() string { return e.Executor }
+
 func (e ContactLost) executor() string { return e.Executor }
 
 func (e LeasesExpired) executor() string { return e.Executor }
--- a/session/hold.go
+++ b/session/hold.go
@@ -27,7 +27,23 @@
 		if s.leasesExpired() {
 			s.opts.Emit(LeasesExpired{Executor: s.endpoint.ID, At: s.opts.Now()})
 		}
-		elapsed.Sleep(s.ctx, holdRetryPause)
+		s.pauseBeforeRetry()
+	}
+}
+
+// pauseBeforeRetry waits for holdRetryPause, and handles a late response meanwhile.
+func (s *Session) pauseBeforeRetry() {
+	timer := time.NewTimer(holdRetryPause)
+	defer timer.Stop()
+	for {
+		select {
+		case late := <-s.lateResponses:
+			s.handleLateResponse(late)
+		case <-timer.C:
+			return
+		case <-s.ctx.Done():
+			return
+		}
 	}
 }
 
@@ -76,29 +92,121 @@
 		order.DeadlineMS = s.nextDeadline()
 	}
 	sent := s.opts.Now()
-	ctx, cancel := context.WithTimeout(s.ctx, wait+s.lagAdjusted(timeout))
-	defer cancel()
-	report, result, err := s.opts.Client.Hold(ctx, s.endpoint, order)
+	r := s.sendHold(order, wait+s.lagAdjusted(timeout))
 	if s.ctx.Err() != nil {
 		return false
 	}
 	switch {
-	case err != nil:
-		return s.handleUnanswered(err)
-	case result == Fenced:
+	case r.err != nil:
+		return s.handleUnanswered(r.err)
+	case r.result == Fenced:
 		s.opts.Emit(Superseded{Executor: s.endpoint.ID})
 		return false
-	case result != Accepted:
-		s.loseContact(string(result), false)
+	case r.result != Accepted:
+		s.loseContact(string(r.result), false)
 		return false
-	case s.restarted(report) && !s.opts.Owns():
+	case s.restarted(r.report) && !s.opts.Owns():
 		s.loseContact("executor restarted while ownership is not confirmed", false)
 		return false
 	}
-	s.handleReport(report, sent)
+	s.handleReport(r.report, sent)
 	return true
 }
 
+// holdResponse is the response to a hold.
+type holdResponse struct {
+	report workload.Report
+	result Result
+	err    error
+}
+
+// errNoResponseInTime means that the response to a hold may still come; see handleLateResponse.
+var errNoResponseInTime = errors.Wrap(ErrNoResponse, context.DeadlineExceeded.Error())
+
+// sendHold sends a hold and waits for its response until the time-out. A response that comes later is still awaited, for
+// maxLateness, if the budget of such holds allows.
+func (s *Session) sendHold(order HoldOrder, timeout time.Duration) holdResponse {
+	ctx, cancel := context.WithCancel(s.ctx)
+	responses := make(chan holdResponse, 1)
+	go func() {
+		report, result, err := s.opts.Client.Hold(ctx, s.endpoint, order)
+		responses <- holdResponse{report, result, err}
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		select {
+		case r := <-responses:
+			cancel()
+			return r
+		case late := <-s.lateResponses:
+			s.handleLateResponse(late)
+		case <-timer.C:
+			s.awaitLateResponse(responses, cancel)
+			return holdResponse{err: errNoResponseInTime}
+		}
+	}
+}
+
+// awaitLateResponse passes a response that comes within maxLateness to lateResponses, and cancels the hold then. A session
+// has one such hold at a time.
+func (s *Session) awaitLateResponse(responses <-chan holdResponse, cancel context.CancelFunc) {
+	if s.awaitingLate.Swap(true) {
+		cancel()
+		return
+	}
+	if !s.opts.LateHolds.acquire() {
+		s.awaitingLate.Store(false)
+		cancel()
+		return
+	}
+	go func() {
+		defer s.opts.LateHolds.release()
+		defer s.awaitingLate.Store(false)
+		defer cancel()
+		timer := time.NewTimer(maxLateness)
+		defer timer.Stop()
+		select {
+		case r := <-responses:
+			if r.err == nil && r.result == Accepted {
+				select {
+				case s.lateResponses <- r:
+				case <-s.ctx.Done():
+				}
+			}
+		case <-timer.C:
+		}
+	}()
+}
+
+// handleLateResponse takes the ended runs from a response that came after its time-out. They stay ended, unlike the rest of the
+// report, which may be out of date.
+func (s *Session) handleLateResponse(r holdResponse) {
+	s.mu.Lock()
+	var ended []workload.EndedTask
+	if r.report.BornUnixMS == s.incarnation {
+		ended = s.takeNewEnds(r.report.Ended)
+	}
+	incarnation, lastEnd := s.incarnation, s.lastEnd
+	s.mu.Unlock()
+	if len(ended) > 0 {
+		s.opts.Emit(ReportedLate{Executor: s.endpoint.ID, BornUnixMS: incarnation, Ended: ended, LastEnd: lastEnd})
+	}
+}
+
+// takeNewEnds returns the ended runs that no earlier event carried, and ends the attempts to start them. The caller holds the lock.
+func (s *Session) takeNewEnds(ended []workload.EndedTask) []workload.EndedTask {
+	newEnds := ended[:0:0]
+	for _, e := range ended {
+		if e.Number > s.lastEnd {
+			s.lastEnd = e.Number
+			newEnds = append(newEnds, e)
+			s.resolveStart(runKey{e.Task, e.Run})
+		}
+	}
+	return newEnds
+}
+
 // handleUnanswered handles a hold without a response and reports whether to send the next one at once. Contact is lost only
 // after two unanswered holds in a row, because a single response may get lost.
 func (s *Session) handleUnanswered(err error) bool {
@@ -150,21 +258,11 @@
 	}
 	s.incarnation, s.inContact, s.unanswered = r.BornUnixMS, true, false
 	s.clockMS, s.clockAt = r.ClockMS, now
-	newEnds := r.Ended[:0:0]
-	for _, e := range r.Ended {
-		if e.Number > s.lastEnd {
-			s.lastEnd = e.Number
-			newEnds = append(newEnds, e)
-		}
-	}
-	r.Ended = newEnds
+	r.Ended = s.takeNewEnds(r.Ended)
 	lastEnd := s.lastEnd
 	for _, x := range r.Running {
 		s.resolveStart(runKey{x.Task, x.Run})
 	}
-	for _, x := range newEnds {
-		s.resolveStart(runKey{x.Task, x.Run})
-	}
 	lateRuns := s.possiblyLateRuns()
 	s.mu.Unlock()
 	if restarted {
--- a/session/session.go
+++ b/session/session.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -44,6 +45,8 @@
 	holdTimeout = 500 * time.Millisecond
 	// lagFactor is how many times a response may wait for the processor on this host; each time-out grows by as many lags.
 	lagFactor = 4
+	// maxLateness is how long after its time-out the response to a hold is still awaited.
+	maxLateness = 4 * time.Second
 	// holdRetryPause is the pause after a failed hold.
 	holdRetryPause = 250 * time.Millisecond
 	// maxAckWait bounds the wait for ended runs to be stored durably before the next hold.
@@ -76,6 +79,8 @@
 	MayContinue func() bool
 	// Losses records lost responses; all sessions of an owner share it.
 	Losses *LossMonitor
+	// LateHolds limits the holds whose response is awaited beyond its time-out; all sessions of an owner share it.
+	LateHolds *LateHolds
 	// Lag returns how late timers of this process fire for lack of processor time; time-outs grow with it.
 	Lag func() time.Duration
 	// Emit passes an event to the owner's control goroutine.
@@ -90,6 +95,10 @@
 	stop     context.CancelFunc
 	wake     chan struct{}
 	done     chan struct{}
+	// lateResponses carries responses to holds that came after their time-out to the goroutine that sends the holds.
+	// awaitingLate is set while one is awaited.
+	lateResponses chan holdResponse
+	awaitingLate  atomic.Bool
 
 	mu sync.Mutex
 	// clockMS is what the executor's clock showed at clockAt, in milliseconds.
@@ -124,7 +133,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	s := &Session{
 		opts: opts, endpoint: endpoint, ctx: ctx, stop: stop,
-		wake: make(chan struct{}, 1), done: make(chan struct{}), holdWait: time.Second,
+		wake: make(chan struct{}, 1), done: make(chan struct{}), lateResponses: make(chan holdResponse), holdWait: time.Second,
 		fence: opts.Tokens.next(), pendingStarts: make(map[runKey]chan struct{}), ambiguousStarts: make(map[runKey]time.Duration),
 	}
 	s.inheritedUntil = opts.Now() + maxElapsed(opts.InheritedLease) + expiryMargin
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -48,7 +48,7 @@
 		Client: h.fleet, Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
 		Now: func() time.Duration { return time.Since(began) }, Owns: owns,
 		MayContinue: func() bool { return owns() || h.continues.Load() },
-		Losses:      session.NewLossMonitor(), Lag: func() time.Duration { return time.Duration(h.lag.Load()) },
+		Losses:      session.NewLossMonitor(), LateHolds: &session.LateHolds{}, Lag: func() time.Duration { return time.Duration(h.lag.Load()) },
 		Emit: func(e session.Event) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -93,6 +93,19 @@
 	return results
 }
 
+// lateEnds returns the ended runs of late responses, in order.
+func (h *harness) lateEnds() []workload.EndedTask {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ended []workload.EndedTask
+	for _, e := range h.events {
+		if r, ok := e.(session.ReportedLate); ok {
+			ended = append(ended, r.Ended...)
+		}
+	}
+	return ended
+}
+
 func order(run int) session.StartOrder {
 	return session.StartOrder{Task: workload.TaskID{Job: "j"}, Run: run}
 }
@@ -434,3 +447,44 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: the response that lists the end of its run comes later than the owner waits for it, and the task
+// starts again when the leases have expired.
+func TestEndsInLateResponsesAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 2 * time.Second, workload.EndDone })
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		h.fleet.SetResponseTime(3 * time.Second)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, h.count(session.ContactLost{}), 1)
+		assert.Equal(t, h.count(session.LeasesExpired{}), 0)
+		assert.DeepEqual(t, h.lateEnds(), []workload.EndedTask{{Number: 1, Task: order(1).Task, Run: 1, Outcome: workload.EndDone}})
+		h.fleet.SetResponseTime(time.Millisecond)
+		time.Sleep(5 * time.Second)
+		for _, e := range h.events {
+			if r, ok := e.(session.Reported); ok {
+				assert.Equal(t, len(r.Report.Ended), 0, "the end was reported already")
+			}
+		}
+	})
+}
+
+// Guards against the ended runs of a former incarnation that count for the current one, whose ends have the same numbers.
+func TestLateResponsesOfFormerIncarnationsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 2 * time.Second, workload.EndDone })
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		h.fleet.SetResponseTime(3 * time.Second)
+		time.Sleep(3500 * time.Millisecond)
+		h.fleet.Crash("x")
+		h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+		h.fleet.SetResponseTime(time.Millisecond)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(h.lateEnds()), 0)
+	})
+}
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -33,8 +33,9 @@
 	// fault returns the fault of an order; nil means no faults.
 	fault func(executor, order string) Fault
 
-	// responseTime is the time from an order to its execution and response.
-	responseTime time.Duration
+	// responseTime is the time from an order to its execution and response, slowExecutors holds that of executors that differ.
+	responseTime  time.Duration
+	slowExecutors map[string]time.Duration
 	// deliverAfterRestart is set if delayed orders reach the next incarnation of an executor.
 	deliverAfterRestart bool
 	// running holds the executor of each running task.
@@ -104,7 +105,7 @@
 	return &Fleet{
 		executors: make(map[string]*executor), startedAt: time.Now(),
 		duration: func(workload.TaskID) (time.Duration, workload.End) { return 500 * time.Millisecond, workload.EndDone },
-		size:     workload.Resources{CPUMilli: 1000}, responseTime: defaultResponseTime,
+		size:     workload.Resources{CPUMilli: 1000}, responseTime: defaultResponseTime, slowExecutors: make(map[string]time.Duration),
 		running: make(map[workload.TaskID]string), acknowledgedDone: make(map[workload.TaskID]bool),
 	}
 }
@@ -123,6 +124,13 @@
 	f.responseTime = d
 }
 
+// SetResponseTimeOf sets the same for orders to one executor.
+func (f *Fleet) SetResponseTimeOf(id string, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.slowExecutors[id] = d
+}
+
 // DeliverOrdersAfterRestart makes delayed orders reach the next incarnation of their executor. Otherwise they have no effect
 // once the incarnation that they were sent to is gone.
 func (f *Fleet) DeliverOrdersAfterRestart() {
@@ -239,6 +247,9 @@
 		fault = DropOrder
 	}
 	responseTime := f.responseTime
+	if d, ok := f.slowExecutors[to.ID]; ok {
+		responseTime = d
+	}
 	f.mu.Unlock()
 	carryOut := func() session.Response {
 		f.mu.Lock()
