Take the ended runs also from a late first response

A new owner on a full link, which reads the whole state at that moment, gets even its first response from an executor late. It names the incarnation, which the session did not know yet, so its ended runs were dropped.

Ruled out: that the ends belong to another incarnation than later reports; a report with another start time resets the numbers, as it does for a restart.

Change: a late first response sets the incarnation, in the session and in the core. It proves no contact and reconciles nothing.

Tests: TestEndsInALateFirstResponseAreReported fails without the change of the session (0 ends != 1), TestEndsListedLateToANewOwnerCompleteTasks holds the core's part.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -539,3 +539,17 @@
 	status, _ := h.core.Status("j")
 	assert.Equal(t, status, workload.StatusCompleted)
 }
+
+// Guards against an inherited task that starts again although the first response that a new owner gets from its executor, a late one,
+// has listed that it is done.
+func TestEndsListedLateToANewOwnerCompleteTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.AddUnreconciled(h.now, "old", service, nil)
+	assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
+		ID: "j", Route: "queue", Service: service, ConfigVersion: 1, Steps: []workload.Step{batchStep(1, 1000)},
+	}, nil, 0, true))
+	h.core.ReportEnds(h.now, "old", 7, []workload.EndedTask{{Number: 3, Task: taskID("j", 0, 0), Run: 1, Outcome: workload.EndDone}}, 3)
+	h.core.ExpireLeases(h.now, "old")
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts), 0)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -62,7 +62,13 @@
 // what runs now.
 func (c *Core) ReportEnds(now time.Duration, id string, bornUnixMS int64, ended []workload.EndedTask, lastEnd int64) {
 	e := c.executors[id]
-	if e == nil || e.incarnation != bornUnixMS {
+	if e == nil {
+		return
+	}
+	if e.incarnation == 0 {
+		e.incarnation = bornUnixMS
+	}
+	if e.incarnation != bornUnixMS {
 		return
 	}
 	for _, x := range ended {
--- a/session/hold.go
+++ b/session/hold.go
@@ -183,6 +183,9 @@
 // report, which may be out of date.
 func (s *Session) handleLateResponse(r holdResponse) {
 	s.mu.Lock()
+	if s.incarnation == 0 {
+		s.incarnation = r.report.BornUnixMS
+	}
 	var ended []workload.EndedTask
 	if r.report.BornUnixMS == s.incarnation {
 		ended = s.takeNewEnds(r.report.Ended)
--- a/session/session.go
+++ b/session/session.go
@@ -109,7 +109,8 @@
 	// inheritedUntil is when leases that maxDeadlineMS does not cover have expired: those that earlier owners granted, and
 	// after a restart those that a late hold may still extend.
 	inheritedUntil time.Duration
-	// incarnation is the start time of the executor in its last report, as Unix time in milliseconds; 0 before the first one.
+	// incarnation is the start time of the executor in its last report, or in a late response before the first one, as Unix time in
+	// milliseconds; 0 before both.
 	incarnation int64
 	// ackedEnd is the number of the last ended run that was acknowledged, lastEnd that of the last one that was reported, both
 	// of the current incarnation.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -472,6 +472,35 @@
 	})
 }
 
+// Guards against the ends that a new owner does not hear of because all responses to it are late, the first one too.
+func TestEndsInALateFirstResponseAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		h.session.Close()
+		h.fleet.SetResponseTime(3 * time.Second)
+		var late atomic.Int64
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		session.New(ctx, session.Endpoint{ID: "x"}, session.Options{
+			Client: h.fleet, Tokens: session.NewTokens(2), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
+			Now: func() time.Duration { return time.Since(began) }, Owns: func() bool { return true },
+			MayContinue: func() bool { return true }, Losses: session.NewLossMonitor(), LateHolds: &session.LateHolds{},
+			Lag: func() time.Duration { return 0 },
+			Emit: func(e session.Event) {
+				if r, ok := e.(session.ReportedLate); ok {
+					late.Add(int64(len(r.Ended)))
+				}
+			},
+		})
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, late.Load(), int64(1))
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against the ended runs of a former incarnation that count for the current one, whose ends have the same numbers.
 func TestLateResponsesOfFormerIncarnationsAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
