Release a cordoned machine for a task that no other machine can take

The need is counted now, but if no pool can give a machine, only the cordoned one has room, and nothing ends a cordon.

Ruled out: the avoidance of the executor on which the task failed (3 s). Not done: a release for tasks that the cordoned executor cannot take either; that would keep a wave from ever preparing its machines beside a job that fits nowhere.

Change: a pass that finds no executor for a long-running task looks for a cordoned one that could take it (Demand.CordonedFit). After 2.5 s PlanWaves uncordons it; a machine from another pool takes some 2 s. While tasks are without an executor, no machine of the pool is cordoned, as before.

Tests, failing before the change (no such field or action): TestCordonedExecutorsThatCouldTakeAWaitingTaskAreReported, TestWaveReleasesAMachineForTasksWithoutAnother.

--- a/pools/pools.go
+++ b/pools/pools.go
@@ -83,6 +83,10 @@
 	// Unplaced is the number of long-running tasks for which the scheduler found no executor. There may be free CPU, on
 	// executors that spread limits rule out or that are to leave.
 	Unplaced int
+	// CordonedFit is a cordoned executor that could take one of them; empty if there is none. CordonedFitFor is how long there has
+	// been one.
+	CordonedFit    string
+	CordonedFitFor time.Duration
 	// Confined is the number of long-running tasks that can leave a cordoned machine only for another machine.
 	Confined int
 	// Spread is the number of machines that the spread limits of long-running steps require.
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -95,6 +95,23 @@
 	assert.Equal(t, len(PlanMoves(s, NewArrivals()).Actions), 0, "a machine is on its way")
 }
 
+// Guards against a long-running task that waits for the end of a wave because no machine can be had but the cordoned ones of its pool,
+// and against machines that are released although another one may still come.
+func TestWaveReleasesAMachineForTasksWithoutAnother(t *testing.T) {
+	w := &Wave{Wave: workload.Wave{Machines: []string{"a0", "a1", "b0"}, Duration: time.Minute, MaxAtOnce: 2}, Begun: map[string]bool{}}
+	s := Snapshot{Waves: []*Wave{w}, Pools: []Pool{{Name: "a", Unplaced: 1, CordonedFit: "xa1", CordonedFitFor: time.Second}, {Name: "b"}}}
+	s.Machines = append(s.Machines, machine("a0", "a", 2), machine("a1", "a", 2), machine("b0", "b", 2))
+	for i := range s.Machines {
+		s.Machines[i].Cordoned, s.Machines[i].LongRunning = true, 2
+	}
+	assert.Equal(t, len(PlanWaves(s)), 0)
+	s.Pools[0].CordonedFitFor = 5 * time.Second
+	actions := PlanWaves(s)
+	assert.Equal(t, len(actions), 1)
+	assert.Equal(t, actions[0].Kind, ActionUncordon)
+	assert.Equal(t, actions[0].Machine, "a1")
+}
+
 // Guards against a wave that waits for ever for long-running tasks that have no other machine in their pool.
 func TestTasksConfinedToACordonedMachineBringAMachine(t *testing.T) {
 	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Confined: 1}, {Name: "off", Standby: true}}}
--- a/pools/waves.go
+++ b/pools/waves.go
@@ -64,6 +64,7 @@
 		return maintenanceRank(pending[a], backlogged[pending[a].Pool]) < maintenanceRank(pending[b], backlogged[pending[b].Pool])
 	})
 	maxDown, forced := wavePace(s, w, len(pending))
+	released := s.executorsToRelease()
 	quota := newCordonQuota(pending, max(w.plannedEnd()-s.Now, maintenanceTime))
 	var actions []Action
 	for _, m := range pending {
@@ -75,6 +76,8 @@
 		case down < maxDown && ready && (m.Cordoned || m.Tasks == 0):
 			down++
 			actions = append(actions, Action{Kind: ActionMaintain, Machine: m.ID, Wave: w, Reason: maintenanceReason(forced && m.Tasks > 0)})
+		case m.Cordoned && released[m.Executor]:
+			actions = append(actions, Action{Kind: ActionUncordon, Machine: m.ID, Wave: w, Reason: "long-running tasks have no other machine"})
 		case !m.Cordoned && s.hasUnplaced(m.Pool):
 		case quota.take(m) && !m.Cordoned:
 			actions = append(actions, Action{Kind: ActionCordon, Machine: m.ID, Wave: w, Reason: "upkeep is next"})
@@ -145,6 +148,21 @@
 	return false
 }
 
+// releaseDelay is how long long-running tasks may wait although a cordoned executor could take them, before it takes tasks again. A machine
+// from another pool comes within some 2 s, if there is one.
+const releaseDelay = 2500 * time.Millisecond
+
+// executorsToRelease returns the cordoned executors that are to take tasks again.
+func (s *Snapshot) executorsToRelease() map[string]bool {
+	release := make(map[string]bool)
+	for _, p := range s.Pools {
+		if p.CordonedFit != "" && p.CordonedFitFor >= releaseDelay {
+			release[p.CordonedFit] = true
+		}
+	}
+	return release
+}
+
 // plannedEnd returns the time by which the planner aims to complete the wave.
 func (w *Wave) plannedEnd() time.Duration {
 	return w.Started + time.Duration(plannedFraction*float64(w.Duration))
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -54,6 +54,8 @@
 	expired []ExpiredJob
 	// unplaced counts the long-running tasks of each service for which the last pass found no executor.
 	unplaced map[string]int
+	// cordonedFits holds, by service, a cordoned executor that could take one of them.
+	cordonedFits map[string]cordonedFit
 	// acksPending is set if ends were processed that no commit covers yet.
 	acksPending   bool
 	decisions     []Decision
@@ -81,6 +83,7 @@
 		jobs: make(map[string]*job), executors: make(map[string]*executor), members: make(map[string][]*executor),
 		unreconciled: make(map[string]unreconciled), pendingCancels: make(map[string]bool),
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
+		cordonedFits:     make(map[string]cordonedFit),
 		permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
 		ordersByUrgency: fitsInTime,
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -17,6 +17,10 @@
 	// executors that MaxPerExecutor or a cordon rules out. A step without MaxPerExecutor mostly counts once, because the
 	// pass does not try its other tasks.
 	Unplaced int
+	// CordonedFit is a cordoned executor that could take one of these tasks; empty if there is none. CordonedFitFor is how long
+	// there has been one.
+	CordonedFit    string
+	CordonedFitFor time.Duration
 	// Confined counts the long-running tasks on cordoned executors that may be stopped but fit on no other executor.
 	Confined int
 	// Spread is the number of executors that long-running steps need because of MaxPerExecutor; the largest step counts.
@@ -32,6 +36,9 @@
 	for service, jobs := range c.activeJobs {
 		d := demands[service]
 		d.Unplaced, d.Confined = c.unplaced[service], c.confinedTasks(now, service)
+		if fit, ok := c.cordonedFits[service]; ok {
+			d.CordonedFit, d.CordonedFitFor = fit.executor, now-fit.since
+		}
 		for j := range jobs {
 			waiting := d.waitingWork(rankOf(now, j).class)
 			for _, o := range j.occs {
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -245,3 +245,24 @@
 	}
 	assert.Assert(t, h.core.Idle("x0"))
 }
+
+// Guards against a long-running task that waits although a cordoned executor has room, when no other machine can be had, and against
+// cordons that end for tasks which the executor cannot take.
+func TestCordonedExecutorsThatCouldTakeAWaitingTaskAreReported(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 500}, LongRunning: true, MaxUnavailable: 1})
+	h.reportServing()
+	h.core.Cordon(h.now, "x0", true)
+	h.submit("large", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 5000}, LongRunning: true})
+	h.advance(time.Second)
+	assert.Equal(t, h.core.Demands(h.now)[service].CordonedFit, "")
+	h.end(taskID("j", 0, 1), workload.EndFailed)
+	h.advance(5 * time.Second)
+	assert.Equal(t, h.core.Demands(h.now)[service].CordonedFit, "x0")
+	h.advance(2 * time.Second)
+	assert.Equal(t, h.core.Demands(h.now)[service].CordonedFitFor, 2*time.Second)
+	h.core.Cordon(h.now, "x0", false)
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, h.executorOf(taskID("j", 0, 1)), "x0")
+	assert.Equal(t, h.core.Demands(h.now)[service].CordonedFit, "")
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -25,6 +25,7 @@
 func (c *Core) scheduleService(now, arrivedBy time.Duration, service string, unreportedUse workload.Resources) {
 	c.unplaced[service] = 0
 	if len(c.activeJobs[service]) == 0 {
+		delete(c.cordonedFits, service)
 		return
 	}
 	clock := c.waitClock(service)
@@ -32,9 +33,31 @@
 	reconciled := c.serviceReconciled(service)
 	p := &placement{core: c, now: now, candidates: c.acceptingExecutors(now, service), unreportedUse: unreportedUse}
 	p.placeJobs(c.waitingJobs(now, arrivedBy, service, reconciled))
+	c.updateCordonedFit(now, service, p.cordonedFit)
 	clock.setCause(c.waitCause(p, service, reconciled))
 }
 
+// cordonedFit is a cordoned executor that could take a long-running task for which no other executor was found. since is since when
+// there has been one without a break.
+type cordonedFit struct {
+	executor string
+	since    time.Duration
+}
+
+// updateCordonedFit is called after a pass; e is nil if there is no such executor.
+func (c *Core) updateCordonedFit(now time.Duration, service string, e *executor) {
+	if e == nil {
+		delete(c.cordonedFits, service)
+		return
+	}
+	fit, ok := c.cordonedFits[service]
+	if !ok {
+		fit.since = now
+	}
+	fit.executor = e.info.ID
+	c.cordonedFits[service] = fit
+}
+
 // placeJobs places the ready tasks of waiting jobs by rank, until no executor has room for any of them. Long-running tasks are
 // tried even without candidates, because those that are not placed are counted, and machines are moved for them.
 func (p *placement) placeJobs(queue *jobQueue) {
@@ -127,6 +150,8 @@
 	rejected []shape
 	// skipsYielding is set once candidates leaves out the executors that yield.
 	skipsYielding bool
+	// cordonedFit is a cordoned executor that could take a long-running task of this pass that was not placed; nil if there is none.
+	cordonedFit *executor
 	// allFull is set once no candidate has room for any ready task that is left.
 	allFull bool
 }
@@ -154,6 +179,7 @@
 		if e == nil {
 			if s.spec.LongRunning {
 				p.core.unplaced[t.job.service]++
+				p.findCordonedFit(t)
 			}
 			if t.avoidUntil == nil && s.spec.MaxPerExecutor == 0 && !t.suspect() {
 				return
@@ -164,6 +190,20 @@
 	}
 }
 
+// findCordonedFit sets cordonedFit, if it is not set, to an executor that could take a task if it were not cordoned.
+func (p *placement) findCordonedFit(t *task) {
+	if p.cordonedFit != nil {
+		return
+	}
+	cordoned := &placement{core: p.core, now: p.now}
+	for _, e := range p.core.members[t.job.service] {
+		if e.cordoned && e.acceptsOnceUncordoned(p.now) {
+			cordoned.candidates = append(cordoned.candidates, e)
+		}
+	}
+	p.cordonedFit = cordoned.chooseExecutor(t, t.step.spec.Reserved(), "")
+}
+
 // placeGang starts all tasks of a gang or none, all with the same run number and checkpoint. A gang that asks for one rack is
 // spread over racks only if none has room for it.
 func (p *placement) placeGang(s *step) {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -275,7 +275,12 @@
 
 // acceptsTasks reports whether new tasks may be placed on the executor now.
 func (e *executor) acceptsTasks(now time.Duration) bool {
-	return e.registered && e.inContact && e.reported && !e.info.Draining && !e.cordoned && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
+	return !e.cordoned && e.acceptsOnceUncordoned(now)
+}
+
+// acceptsOnceUncordoned reports the same for an executor that is cordoned.
+func (e *executor) acceptsOnceUncordoned(now time.Duration) bool {
+	return e.registered && e.inContact && e.reported && !e.info.Draining && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
 }
 
 // attach places a task on the executor and reserves its resources.
