Look for cordoned executors once in a placing pass

Ruled out: nothing yet. Change: the pass lists the cordoned executors at most once; mostly there are none.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -151,7 +151,9 @@
 	// skipsYielding is set once candidates leaves out the executors that yield.
 	skipsYielding bool
 	// cordonedFit is a cordoned executor that could take a long-running task of this pass that was not placed; nil if there is none.
+	// cordoned is the placement that looks for it; nil until the first such task.
 	cordonedFit *executor
+	cordoned    *placement
 	// allFull is set once no candidate has room for any ready task that is left.
 	allFull bool
 }
@@ -195,13 +197,15 @@
 	if p.cordonedFit != nil {
 		return
 	}
-	cordoned := &placement{core: p.core, now: p.now}
-	for _, e := range p.core.members[t.job.service] {
-		if e.cordoned && e.acceptsOnceUncordoned(p.now) {
-			cordoned.candidates = append(cordoned.candidates, e)
+	if p.cordoned == nil {
+		p.cordoned = &placement{core: p.core, now: p.now}
+		for _, e := range p.core.members[t.job.service] {
+			if e.cordoned && e.acceptsOnceUncordoned(p.now) {
+				p.cordoned.candidates = append(p.cordoned.candidates, e)
+			}
 		}
 	}
-	p.cordonedFit = cordoned.chooseExecutor(t, t.step.spec.Reserved(), "")
+	p.cordonedFit = p.cordoned.chooseExecutor(t, t.step.spec.Reserved(), "")
 }
 
 // placeGang starts all tasks of a gang or none, all with the same run number and checkpoint. A gang that asks for one rack is
