--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -76,6 +76,7 @@
 // executorRecord is the stored row of an executor that may run tasks for this owner or an earlier one.
 type executorRecord struct {
 	Address string `json:"a"`
+	// Service is the service of whose tasks the executor may run any; empty if it has had several.
 	Service string `json:"s"`
 	// Lost is set while the owner has no contact with the executor. Tasks are then all tasks that it may run.
 	Lost  bool              `json:"l,omitempty"`
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -114,7 +114,7 @@
 		}
 		listed[r.Name] = true
 		l.core.PutExecutor(now, e)
-		l.recordExecutor(e)
+		l.recordExecutor(now, e)
 	}
 	if b.Full {
 		for id := range l.executorRecords {
@@ -125,11 +125,17 @@
 	}
 }
 
-// recordExecutor stores a record of a new executor or address. The session starts once the record is durable, so that a
-// later owner knows every executor that may run tasks.
-func (l *leadership) recordExecutor(e workload.Executor) {
+// recordExecutor stores a record of a new executor, address or service. The session starts, and tasks of another service start, once
+// the record is durable, so that a later owner knows every executor that may run tasks of a service.
+func (l *leadership) recordExecutor(now time.Duration, e workload.Executor) {
 	old, ok := l.executorRecords[e.ID]
 	if ok && old.Address == e.Address {
+		if old.Service != "" && old.Service != e.Service {
+			old.Service = ""
+			l.executorRecords[e.ID] = old
+			l.core.Suspend(now, e.ID, true)
+			l.storeExecutorRecord(e.ID)
+		}
 		return
 	}
 	l.executorRecords[e.ID] = executorRecord{Address: e.Address, Service: e.Service, inherited: old.inherited}
@@ -171,7 +177,7 @@
 }
 
 // handleExecutorRecordStored opens the session with an executor whose record is durable, and lets it get tasks unless
-// contact with it is lost. A record with an outdated address is ignored.
+// contact with it is lost. A record with an outdated address or service is ignored.
 func (l *leadership) handleExecutorRecordStored(id string, value []byte) {
 	var stored executorRecord
 	if err := json.Unmarshal(value, &stored); err != nil {
@@ -179,7 +185,7 @@
 		return
 	}
 	current, ok := l.executorRecords[id]
-	if !ok || current.Address != stored.Address {
+	if !ok || current.Address != stored.Address || current.Service != stored.Service {
 		return
 	}
 	l.openSession(id, current)
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -359,3 +359,26 @@
 		c.checkViolations()
 	})
 }
+
+// Guards against a task that runs twice: a later owner waits for the executors of its service, and the record of the one that runs it
+// names only another service that this executor has had.
+func TestExecutorRecordsCoverAllServices(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		time.Sleep(2 * time.Second)
+		value, err := json.Marshal(workload.Executor{
+			ID: "x0", Service: "other", Address: "addr-x0", Capacity: capacity, Kind: "a", Rack: "r",
+		})
+		assert.NilError(t, err)
+		c.store.Put(rowstore.Key{Table: "executors", Name: "x0"}, value)
+		time.Sleep(2 * time.Second)
+		row, ok := c.store.Get(executorRecordKey("x0"))
+		assert.Assert(t, ok)
+		var record executorRecord
+		assert.NilError(t, json.Unmarshal(row.Value, &record))
+		assert.Equal(t, record.Service, "", "it may run tasks of both services")
+		putExecutor(c.store, "x0", capacity)
+		c.submit("j", plainStep(2))
+		c.awaitAll([]string{"j"}, workload.StatusCompleted, 10*time.Second)
+	})
+}
