Check starts whose completion is acknowledged later, and slow responses, under random faults

What callers would see: the half of the rule that the users' report names, a start after a run has ended as done, if that end is acknowledged later. The stand-in of the executors checked only starts after the acknowledgement.

Change, tests only: the stand-in also records a start between a completion and its acknowledgement as a violation, unless the leases expired between end and acknowledgement, as before. A new fault carries an order out and responds 2.5 s later; it is among the faults of the random tests (1 of 40 orders).

--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -259,6 +259,8 @@
 		return workers.LoseResponse
 	case 2:
 		return workers.DropOrder
+	case 3:
+		return workers.SlowResponse
 	}
 	return workers.None
 }
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -1,6 +1,7 @@
 // Package workers implements executors in memory, with leases, fencing tokens
 // and fault injection. It records violations: a task that runs twice at the
-// same time, or that starts again after its completion was acknowledged.
+// same time, or that starts again after a completion that was acknowledged
+// before or is acknowledged later.
 // Tests use it under the virtual time of testing/synctest.
 package workers
 
@@ -42,8 +43,10 @@
 	running map[workload.TaskID]string
 	// acknowledgedDone holds the tasks whose completion was acknowledged; they must not start again.
 	acknowledgedDone map[workload.TaskID]bool
-	violations       []string
-	history          []string
+	// startedLast is when the last run of each task started.
+	startedLast map[workload.TaskID]time.Time
+	violations  []string
+	history     []string
 	// rejected counts the start orders refused with session.NoRoom, starts the runs started.
 	rejected int
 	starts   int
@@ -63,9 +66,11 @@
 	Late
 	// Refuse responds with session.Unhealthy and does not carry the order out.
 	Refuse
+	// SlowResponse carries the order out at once and responds LateBy later.
+	SlowResponse
 )
 
-// LateBy is the delay of orders with the fault Late.
+// LateBy is the delay of orders with the fault Late, and of responses with the fault SlowResponse.
 const LateBy = 2500 * time.Millisecond
 
 // executor is one incarnation of an executor.
@@ -81,6 +86,8 @@
 	unreachable     bool
 	runs            map[workload.TaskID]*run
 	endedTasks      []workload.EndedTask
+	// endedAt holds the time of each of endedTasks.
+	endedAt []time.Time
 	// leaseExpiries counts how often the lease expired; expiriesAtEnd holds the count at the time of each of endedTasks.
 	leaseExpiries int
 	expiriesAtEnd []int
@@ -107,6 +114,7 @@
 		duration: func(workload.TaskID) (time.Duration, workload.End) { return 500 * time.Millisecond, workload.EndDone },
 		size:     workload.Resources{CPUMilli: 1000}, responseTime: defaultResponseTime, slowExecutors: make(map[string]time.Duration),
 		running: make(map[workload.TaskID]string), acknowledgedDone: make(map[workload.TaskID]bool),
+		startedLast: make(map[workload.TaskID]time.Time),
 	}
 }
 
@@ -272,6 +280,14 @@
 		return session.Response{}, session.ErrNoResponse
 	case Refuse:
 		return session.Response{Result: session.Unhealthy, ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}, nil
+	case SlowResponse:
+		resp := carryOut()
+		select {
+		case <-time.After(LateBy):
+			return resp, nil
+		case <-ctx.Done():
+			return session.Response{}, session.ErrNoResponse
+		}
 	case Late:
 		time.AfterFunc(LateBy, func() { carryOut() })
 		<-ctx.Done()
@@ -335,7 +351,7 @@
 	if f.acknowledgedDone[o.Task] {
 		f.violations = append(f.violations, fmt.Sprintf("%s starts on %s after its completion was acknowledged", o.Task, e.id))
 	}
-	f.running[o.Task] = e.id
+	f.running[o.Task], f.startedLast[o.Task] = e.id, time.Now()
 	e.highestRun[o.Task] = o.Run
 	duration, outcome := f.duration(o.Task)
 	r := &run{number: o.Run, startedAt: time.Now(), size: size}
@@ -360,7 +376,7 @@
 	delete(e.runs, task)
 	f.clearRunning(task, e.id)
 	e.endedTasks = append(e.endedTasks, workload.EndedTask{Number: e.nextEndNumber, Task: task, Run: r.number, Outcome: outcome})
-	e.expiriesAtEnd = append(e.expiriesAtEnd, e.leaseExpiries)
+	e.expiriesAtEnd, e.endedAt = append(e.expiriesAtEnd, e.leaseExpiries), append(e.endedAt, time.Now())
 	e.nextEndNumber++
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -424,9 +440,9 @@
 			f.record("%s end %d on %s acknowledged by fence %d", e.endedTasks[0].Task, e.endedTasks[0].Number, e.id, o.Fence)
 			// The completion of a task counts as acknowledged only if the lease has not expired since.
 			if e.endedTasks[0].Outcome == workload.EndDone && e.expiriesAtEnd[0] == e.leaseExpiries {
-				f.acknowledgedDone[e.endedTasks[0].Task] = true
+				f.acknowledgeDone(e)
 			}
-			e.endedTasks, e.expiriesAtEnd = e.endedTasks[1:], e.expiriesAtEnd[1:]
+			e.endedTasks, e.expiriesAtEnd, e.endedAt = e.endedTasks[1:], e.expiriesAtEnd[1:], e.endedAt[1:]
 		}
 		if len(e.endedTasks) == 0 {
 			changed = e.changed
@@ -449,6 +465,16 @@
 	return f.report(ctx, exec)
 }
 
+// acknowledgeDone records that the completion in the first of the executor's ended tasks was acknowledged, and the violation if the
+// task has started again since its end.
+func (f *Fleet) acknowledgeDone(e *executor) {
+	task := e.endedTasks[0].Task
+	f.acknowledgedDone[task] = true
+	if f.startedLast[task].After(e.endedAt[0]) {
+		f.violations = append(f.violations, fmt.Sprintf("%s started again after it was done on %s, which was acknowledged then", task, e.id))
+	}
+}
+
 // report returns the report of an executor, or ErrNoResponse at the end of ctx if the executor is down or unreachable. It
 // locks f.mu.
 func (f *Fleet) report(ctx context.Context, e *executor) (workload.Report, session.Result, error) {
