Store since when each queue has had its service

What callers would see: jobs that wait longer after a takeover.

Cause: versions alone do not tell whether a queue has moved.

Ruled out: to store the history before the first start under a new configuration, which delays starts at a slow store. A history that does not reach up to the loaded configuration does not count, so a lost owner leaves a gap and not a wrong answer.

Change: the owner stores a row with the last configuration that it knows, and for each queue that has moved or was dropped the version that did it. A new owner that loads just this configuration lets a job start once the executors of its service are reconciled, if its queue has not moved since the job was accepted. One small row for each configuration, in the transactions that the owner makes anyway.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -65,6 +65,8 @@
 	nextPurgeAt time.Duration
 	startedAt   time.Duration
 	machines    machineState
+	// storedRoutes is the version of the last configuration in the row at routeHistoryKey.
+	storedRoutes uint64
 }
 
 // storedJobRecord is a job record as it was loaded. The record is nil if it cannot be decoded.
@@ -99,6 +101,7 @@
 var (
 	waveProgressKey = rowstore.Key{Table: controlTable, Name: "waves"}
 	recentOrdersKey = rowstore.Key{Table: controlTable, Name: "orders"}
+	routeHistoryKey = rowstore.Key{Table: controlTable, Name: "routes"}
 )
 
 // newLeadership returns the state of a term before anything is loaded.
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -86,6 +86,11 @@
 	switch r.Key {
 	case waveProgressKey:
 		l.logIfUnreadable(r, json.Unmarshal(r.Value, &l.machines.progress))
+	case routeHistoryKey:
+		history, err := scheduler.DecodeRouteHistory(r.Value)
+		l.logIfUnreadable(r, err)
+		l.core.InheritRouteHistory(history)
+		l.storedRoutes = history.Observed
 	case recentOrdersKey:
 		err := l.machines.inheritOrders(r.Value, l.startedAt, l.opts.WallMS(), l.opts.MachineDelay)
 		l.logIfUnreadable(r, err)
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -86,6 +86,7 @@
 			l.log.WithError(err).WithField("row", r.Name).Warn("operator row is invalid")
 		case config != nil:
 			l.core.Configure(now, config)
+			l.storeRouteHistory()
 			l.machines.configure(config)
 		case wave != nil:
 			l.addWave(now, r.Name, *wave)
@@ -93,6 +94,21 @@
 	}
 }
 
+// storeRouteHistory puts the history of the queues' services into the owner's rows if it has changed.
+func (l *leadership) storeRouteHistory() {
+	history := l.core.RouteHistory()
+	if history.Observed == l.storedRoutes {
+		return
+	}
+	value, err := json.Marshal(history)
+	if err != nil {
+		l.log.WithError(err).Error("route history cannot be encoded")
+		return
+	}
+	l.storedRoutes = history.Observed
+	l.rows.put(routeHistoryKey, value)
+}
+
 // applyExecutors applies registrations of executors. Executors that a full batch lacks are not registered any more.
 func (l *leadership) applyExecutors(now time.Duration, b feed.Batch) {
 	listed := make(map[string]bool, len(b.Rows))
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/scheduler"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/standin/workers"
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -108,7 +109,7 @@
 		c.awaitAll([]string{"before"}, workload.StatusCompleted, 10*time.Second)
 		c.kill(c.ownerHost())
 		for _, key := range []rowstore.Key{
-			{Table: frontend.RecordTable, Name: "damaged"}, waveProgressKey, recentOrdersKey, executorRecordKey("x0"), executorRecordKey("unknown"),
+			{Table: frontend.RecordTable, Name: "damaged"}, waveProgressKey, recentOrdersKey, routeHistoryKey, executorRecordKey("x0"), executorRecordKey("unknown"),
 		} {
 			c.store.Put(key, []byte(`{"s":`))
 		}
@@ -384,3 +385,29 @@
 		c.awaitAll([]string{"j"}, workload.StatusCompleted, 10*time.Second)
 	})
 }
+
+// Guards against a history of the queues' services that a new owner does not load, or that does not follow the configurations.
+func TestRouteHistoryIsKeptAcrossTakeovers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		configure := func(version uint64, queue string) {
+			config, err := json.Marshal(workload.Configuration{
+				Version: version, Services: []workload.Service{{Name: testService}, {Name: "other"}},
+				Routes: []workload.Route{{Name: "queue", Service: queue}, {Name: "second", Service: testService}},
+			})
+			assert.NilError(t, err)
+			c.store.Put(rowstore.Key{Table: "operator", Name: "config"}, config)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Second)
+		configure(2, "other")
+		c.kill(c.ownerHost())
+		time.Sleep(5 * time.Second)
+		configure(4, testService)
+		row, ok := c.store.Get(routeHistoryKey)
+		assert.Assert(t, ok)
+		history, err := scheduler.DecodeRouteHistory(row.Value)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, history, scheduler.RouteHistory{Observed: 4, UnknownBefore: 1, Moved: map[string]uint64{"queue": 4}})
+	})
+}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -28,10 +28,12 @@
 
 // Core holds the jobs, tasks and executors of one owner. It is not safe for concurrent use.
 type Core struct {
-	opts      Options
-	config    *workload.Configuration
-	jobs      map[string]*job
-	executors map[string]*executor
+	opts   Options
+	config *workload.Configuration
+	// routeHistory includes config as the last configuration.
+	routeHistory RouteHistory
+	jobs         map[string]*job
+	executors    map[string]*executor
 	// members holds the executors of each service, ordered by ID.
 	members map[string][]*executor
 	// unreconciled holds the executors that may still run tasks for an earlier owner.
@@ -95,6 +97,11 @@
 	if config.Version < c.config.Version {
 		return
 	}
+	if c.config.Version == 0 {
+		c.routeHistory.begin(config)
+	} else if config.Version > c.config.Version {
+		c.routeHistory.add(c.config, config)
+	}
 	c.config = config
 	c.applyOrganisationLimits()
 	for _, j := range c.jobs {
@@ -169,8 +176,7 @@
 		j.occurrence(0)
 	}
 	c.applyRoute(j)
-	if inherited && j.service == spec.Service && c.config.Version <= spec.ConfigVersion {
-		// The configuration is at least as new as any that an earlier owner has acted on.
+	if inherited && j.service == spec.Service && spec.ConfigVersion >= c.routeHistory.since(spec.Route) {
 		j.onlyService = spec.Service
 	}
 	if !inherited {
--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -374,25 +374,39 @@
 	assert.Equal(t, len(h.starts), 1)
 }
 
-// Guards against a task that runs twice: since its job was accepted, its queue has gone to another service and back, and a new owner
-// does not know yet what the executors of that service run.
-func TestInheritedTasksWaitForServicesThatTheirQueueMayHaveHad(t *testing.T) {
-	h := newHarness(t, 1)
+// newOwner returns a harness whose core takes over with a configuration and the history that its predecessor stored. The executor
+// "old" of another service has not reported.
+func newOwner(t *testing.T, version uint64, history RouteHistory) *harness {
+	h := newHarness(t, 0)
 	config := *h.core.config
-	config.Version = 3
+	config.Version = version
+	h.core = New(Options{Epoch: 2, Retention: time.Minute})
+	h.core.InheritRouteHistory(history)
 	h.core.Configure(h.now, &config)
+	h.addExecutor("x0", size)
 	h.core.PutExecutor(h.now, workload.Executor{ID: "old", Service: "other", Capacity: size, Kind: "a", Rack: "r"})
 	h.core.AddUnreconciled(h.now, "old", "other", nil)
+	return h
+}
+
+func (h *harness) inheritJob(id string, configVersion uint64, steps ...workload.Step) {
+	assert.NilError(h.t, h.core.AddJob(h.now, &workload.Job{
+		ID: id, Route: "queue", Service: service, ConfigVersion: configVersion, Steps: steps,
+	}, nil, 0, true))
+}
+
+// Guards against a task that runs twice: since its job was accepted, its queue has gone to another service and back, and a new owner
+// does not know yet what the executors of that service run.
+func TestInheritedTasksWaitForServicesThatTheirQueueMayHaveHad(t *testing.T) {
+	h := newOwner(t, 3, RouteHistory{})
 	for id, configVersion := range map[string]uint64{"before": 1, "since": 3} {
-		assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
-			ID: id, Route: "queue", Service: service, ConfigVersion: configVersion,
-			Steps: []workload.Step{batchStep(1, 1000), batchStep(1, 1000, 0)},
-		}, nil, 0, true))
+		h.inheritJob(id, configVersion, batchStep(1, 1000), batchStep(1, 1000, 0))
 	}
 	h.runCommands()
 	assert.Equal(t, len(h.starts), 1)
 	assert.Equal(t, h.starts[0].Task, taskID("since", 0, 0), "its queue cannot have had another service")
 	// Configurations that come after the takeover do not change what the earlier owner may have started.
+	config := *h.core.config
 	config.Version = 4
 	h.core.Configure(h.now, &config)
 	h.end(taskID("since", 0, 0), workload.EndDone)
@@ -403,6 +417,65 @@
 	assert.Equal(t, len(h.starts), 3)
 }
 
+// Guards against inherited jobs that wait for executors of services that their queue never had, after a change of the configuration
+// that moved no queue, and against a history that does not reach up to the loaded configuration.
+func TestStoredRouteHistoryShortensTheWaitOfInheritedTasks(t *testing.T) {
+	for name, test := range map[string]struct {
+		history RouteHistory
+		starts  int
+	}{
+		"queue did not move":           {RouteHistory{Observed: 3, UnknownBefore: 1}, 1},
+		"queue moved after acceptance": {RouteHistory{Observed: 3, UnknownBefore: 1, Moved: map[string]uint64{"queue": 3}}, 0},
+		"queue moved before":           {RouteHistory{Observed: 3, UnknownBefore: 1, Moved: map[string]uint64{"queue": 2}}, 1},
+		"another queue moved":          {RouteHistory{Observed: 3, UnknownBefore: 1, Moved: map[string]uint64{"other": 3}}, 1},
+		"history is not complete":      {RouteHistory{Observed: 2, UnknownBefore: 1}, 0},
+		"history begins later":         {RouteHistory{Observed: 3, UnknownBefore: 3}, 0},
+		"no history":                   {RouteHistory{}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newOwner(t, 3, test.history)
+			h.inheritJob("j", 2, batchStep(1, 1000))
+			h.runCommands()
+			assert.Equal(t, len(h.starts), test.starts)
+		})
+	}
+}
+
+// Guards against a queue whose moves are forgotten: away and back, dropped and declared again, and more moves than a row holds.
+func TestRouteHistoryFollowsConfigurations(t *testing.T) {
+	var h RouteHistory
+	config := func(version uint64, services ...string) *workload.Configuration {
+		c := &workload.Configuration{Version: version}
+		for i := 0; i+1 < len(services); i += 2 {
+			c.Routes = append(c.Routes, workload.Route{Name: services[i], Service: services[i+1]})
+		}
+		return c
+	}
+	first := config(1, "q", "s1", "r", "s1")
+	h.begin(first)
+	away, back := config(3, "q", "s2", "r", "s1"), config(4, "q", "s1", "r", "s1")
+	h.add(first, away)
+	h.add(away, back)
+	assert.Equal(t, h.since("q"), uint64(4))
+	assert.Equal(t, h.since("r"), uint64(1))
+	dropped, again := config(5, "r", "s1"), config(7, "q", "s1", "r", "s1", "new", "s2")
+	h.add(back, dropped)
+	assert.Equal(t, h.since("q"), uint64(5))
+	h.add(dropped, again)
+	assert.Equal(t, h.since("q"), uint64(7))
+	assert.Equal(t, h.since("new"), uint64(1), "nobody can have acted on it earlier")
+	assert.Equal(t, h.Observed, uint64(7))
+
+	many, moved := config(8), config(9)
+	for i := range maxMovedRoutes + 1 {
+		many.Routes = append(many.Routes, workload.Route{Name: fmt.Sprint(i), Service: "s1"})
+		moved.Routes = append(moved.Routes, workload.Route{Name: fmt.Sprint(i), Service: "s2"})
+	}
+	h.add(again, many)
+	h.add(many, moved)
+	assert.DeepEqual(t, h, RouteHistory{Observed: 9, UnknownBefore: 9})
+}
+
 // Guards against progress that is lost when a record is stored and restored.
 func TestRecordsRestoreProgress(t *testing.T) {
 	h := newHarness(t, 2)
