Keep what concerns late responses in a file of its own

Cause: read as a newcomer, session/hold.go mixed the loop of holds with the wait for late responses, and two lines listed fields that pools.Pool explains. Ruled out: a change of behaviour; code moves between files, comments refer to pools.Pool. Change: session/late.go; a long line and a map of the core are wrapped.

--- a/coordinator/account.go
+++ b/coordinator/account.go
@@ -16,8 +16,7 @@
 // registered yet. Cordoned machines are also counted as busy or idle.
 type poolUsage struct {
 	busy, idle, arriving, maintenance, standby, cordoned int
-	// unplaced is the number of long-running tasks for which no executor was found, confined that of those that cannot leave a
-	// cordoned one, longRunningCPU what all that wait reserve, in thousandths of a core.
+	// unplaced and confined are as in pools.Pool, and longRunningCPU is its LongRunning.
 	unplaced, confined int
 	longRunningCPU     int64
 }
--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -175,7 +175,8 @@
 		d := demands[p.Name]
 		s.Pools = append(s.Pools, pools.Pool{
 			Name: p.Name, Standby: p.Standby, Waiting: d.Waiting, Late: d.Late, TooLate: d.TooLate, Arrived: d.Arrived,
-			LongRunning: d.LongRunning, Unplaced: d.Unplaced, CordonedFit: d.CordonedFit, CordonedFitFor: d.CordonedFitFor, Confined: d.Confined, Spread: d.Spread,
+			LongRunning: d.LongRunning, Unplaced: d.Unplaced, Confined: d.Confined, Spread: d.Spread,
+			CordonedFit: d.CordonedFit, CordonedFitFor: d.CordonedFitFor,
 		})
 	}
 	return s
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -85,8 +85,7 @@
 		jobs: make(map[string]*job), executors: make(map[string]*executor), members: make(map[string][]*executor),
 		unreconciled: make(map[string]unreconciled), pendingCancels: make(map[string]bool),
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
-		cordonedFits:     make(map[string]cordonedFit),
-		permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
+		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
 		ordersByUrgency: fitsInTime,
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -45,8 +45,6 @@
 	holdTimeout = 500 * time.Millisecond
 	// lagFactor is how many times a response may wait for the processor on this host; each time-out grows by as many lags.
 	lagFactor = 4
-	// maxLateness is how long after its time-out the response to a hold is still awaited.
-	maxLateness = 4 * time.Second
 	// holdRetryPause is the pause after a failed hold.
 	holdRetryPause = 250 * time.Millisecond
 	// maxAckWait bounds the wait for ended runs to be stored durably before the next hold.
