Wait for the responses to holds without another goroutine

Cause: suspected, not shown. Each response passed through a second goroutine. On an owner that is short of processor time each step waits in its queue, and a time-out that fires meanwhile wins over a response that has come.

If the time-out passes and a late hold is allowed, the timer's goroutine goes on with the loop, and the first one ends with the late response. A lock keeps reports and late ended runs in order.

Tests: those of session and coordinator pass, with the race detector for session, which first found that one of the new tests read its events without their lock; mended here.

--- a/session/late.go
+++ b/session/late.go
@@ -31,82 +31,81 @@
 
 func (l *LateHolds) release() { l.n.Add(-1) }
 
-// holdResponse is the response to a hold.
-type holdResponse struct {
-	report workload.Report
-	result Result
-	err    error
-}
-
-// errNoResponseInTime means that the response to a hold may still come; see handleLateResponse.
+// errNoResponseInTime means that the response to a hold may still come; see sendHold.
 var errNoResponseInTime = errors.Wrap(ErrNoResponse, context.DeadlineExceeded.Error())
 
-// sendHold sends a hold and waits for its response until the time-out. A response that comes later is still awaited, for
-// maxLateness, if the budget of such holds allows.
-func (s *Session) sendHold(order HoldOrder, timeout time.Duration) holdResponse {
+// States of a hold.
+const (
+	holdOpen int32 = iota
+	holdAnswered
+	// holdLate means that the time-out has passed, and that another goroutine repeats the holds.
+	holdLate
+)
+
+// sendHold sends a hold and waits for its response. At the time-out the hold is cancelled; or, within the limits of late holds, another
+// goroutine goes on as after a hold without a response, and this one waits for up to maxLateness more. Then late is set, and the
+// ended runs of the response have been handled.
+func (s *Session) sendHold(order HoldOrder, timeout time.Duration) (report workload.Report, result Result, err error, late bool) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	responses := make(chan holdResponse, 1)
-	go func() {
-		report, result, err := s.opts.Client.Hold(ctx, s.endpoint, order)
-		responses <- holdResponse{report, result, err}
-	}()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
-		select {
-		case r := <-responses:
+	defer cancel()
+	var state atomic.Int32
+	timer := time.AfterFunc(timeout, func() {
+		if !s.beginLateHold() {
 			cancel()
-			return r
-		case late := <-s.lateResponses:
-			s.handleLateResponse(late)
-		case <-timer.C:
-			s.awaitLateResponse(responses, cancel)
-			return holdResponse{err: errNoResponseInTime}
+			return
 		}
+		if !state.CompareAndSwap(holdOpen, holdLate) {
+			s.endLateHold()
+			return
+		}
+		time.AfterFunc(maxLateness, cancel)
+		s.pauseAfterHold(s.handleUnanswered(errNoResponseInTime))
+		s.run()
+	})
+	defer timer.Stop()
+	report, result, err = s.opts.Client.Hold(ctx, s.endpoint, order)
+	if state.CompareAndSwap(holdOpen, holdAnswered) {
+		if err != nil && ctx.Err() != nil {
+			err = errNoResponseInTime
+		}
+		return report, result, err, false
+	}
+	s.endLateHold()
+	if err == nil && result == Accepted && s.ctx.Err() == nil {
+		s.handleLateResponse(report)
 	}
+	return report, result, err, true
 }
 
-// awaitLateResponse passes a response that comes within maxLateness to lateResponses, and cancels the hold then. A session
-// has one such hold at a time.
-func (s *Session) awaitLateResponse(responses <-chan holdResponse, cancel context.CancelFunc) {
+// beginLateHold reports whether a hold may go on after its time-out. A session has one such hold at a time.
+func (s *Session) beginLateHold() bool {
 	if s.awaitingLate.Swap(true) {
-		cancel()
-		return
+		return false
 	}
 	if !s.opts.LateHolds.acquire() {
 		s.awaitingLate.Store(false)
-		cancel()
-		return
+		return false
 	}
-	go func() {
-		defer s.opts.LateHolds.release()
-		defer s.awaitingLate.Store(false)
-		defer cancel()
-		timer := time.NewTimer(maxLateness)
-		defer timer.Stop()
-		select {
-		case r := <-responses:
-			if r.err == nil && r.result == Accepted {
-				select {
-				case s.lateResponses <- r:
-				case <-s.ctx.Done():
-				}
-			}
-		case <-timer.C:
-		}
-	}()
+	return true
+}
+
+func (s *Session) endLateHold() {
+	s.opts.LateHolds.release()
+	s.awaitingLate.Store(false)
 }
 
 // handleLateResponse takes the ended runs from a response that came after its time-out. They stay ended, unlike the rest of the
 // report, which may be out of date.
-func (s *Session) handleLateResponse(r holdResponse) {
+func (s *Session) handleLateResponse(r workload.Report) {
+	s.reports.Lock()
+	defer s.reports.Unlock()
 	s.mu.Lock()
 	if s.incarnation == 0 {
-		s.incarnation = r.report.BornUnixMS
+		s.incarnation = r.BornUnixMS
 	}
 	var ended []workload.EndedTask
-	if r.report.BornUnixMS == s.incarnation {
-		ended = s.takeNewEnds(r.report.Ended)
+	if r.BornUnixMS == s.incarnation {
+		ended = s.takeNewEnds(r.Ended)
 	}
 	incarnation, lastEnd := s.incarnation, s.lastEnd
 	s.mu.Unlock()
@@ -114,19 +113,3 @@
 		s.opts.Emit(ReportedLate{Executor: s.endpoint.ID, BornUnixMS: incarnation, Ended: ended, LastEnd: lastEnd})
 	}
 }
-
-// pauseBeforeRetry waits for holdRetryPause, and handles a late response meanwhile.
-func (s *Session) pauseBeforeRetry() {
-	timer := time.NewTimer(holdRetryPause)
-	defer timer.Stop()
-	for {
-		select {
-		case late := <-s.lateResponses:
-			s.handleLateResponse(late)
-		case <-timer.C:
-			return
-		case <-s.ctx.Done():
-			return
-		}
-	}
-}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -464,6 +464,8 @@
 		assert.DeepEqual(t, h.lateEnds(), []workload.EndedTask{{Number: 1, Task: order(1).Task, Run: 1, Outcome: workload.EndDone}})
 		h.fleet.SetResponseTime(time.Millisecond)
 		time.Sleep(5 * time.Second)
+		h.mu.Lock()
+		defer h.mu.Unlock()
 		for _, e := range h.events {
 			if r, ok := e.(session.Reported); ok {
 				assert.Equal(t, len(r.Report.Ended), 0, "the end was reported already")
