--- a/session/hold.go
+++ b/session/hold.go
@@ -9,8 +9,9 @@
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
-// run repeats holds until the session ends, or until a hold goes on in the background and another goroutine repeats them.
+// run repeats holds until the session ends.
 func (s *Session) run() {
+	defer close(s.done)
 	for s.ctx.Err() == nil {
 		if !s.authorised() {
 			// Without reports, the session would not notice that the executor has become another incarnation.
@@ -18,24 +19,15 @@
 			elapsed.Sleep(s.ctx, holdRetryPause)
 			continue
 		}
-		goOn, late := s.hold()
-		if late {
-			return
+		if s.hold() {
+			s.awaitAcks()
+			continue
 		}
-		s.pauseAfterHold(goOn)
-	}
-}
-
-// pauseAfterHold pauses before the next hold, for holdRetryPause unless goOn is set.
-func (s *Session) pauseAfterHold(goOn bool) {
-	if goOn {
-		s.awaitAcks()
-		return
-	}
-	if s.leasesExpired() {
-		s.opts.Emit(LeasesExpired{Executor: s.endpoint.ID, At: s.opts.Now()})
+		if s.leasesExpired() {
+			s.opts.Emit(LeasesExpired{Executor: s.endpoint.ID, At: s.opts.Now()})
+		}
+		s.pauseBeforeRetry()
 	}
-	elapsed.Sleep(s.ctx, holdRetryPause)
 }
 
 // awaitAcks waits until the ended runs of the last report are acknowledged: at least minHoldPause, at most maxAckWait longer.
@@ -60,9 +52,8 @@
 	}
 }
 
-// hold sends one hold. goOn is false if the caller is to pause for holdRetryPause before the next one. late is set if the response
-// came after the time-out; another goroutine has gone on then.
-func (s *Session) hold() (goOn, late bool) {
+// hold sends one hold. It returns false if the caller is to pause for holdRetryPause before the next one.
+func (s *Session) hold() bool {
 	lossy := s.opts.Losses.lossy(s.opts.Now())
 	s.mu.Lock()
 	inContact, wait := s.inContact, s.holdWait
@@ -84,25 +75,25 @@
 		order.DeadlineMS = s.nextDeadline()
 	}
 	sent := s.opts.Now()
-	report, result, err, late := s.sendHold(order, wait+s.lagAdjusted(timeout))
-	if s.ctx.Err() != nil || late {
-		return false, late
+	r := s.sendHold(order, wait+s.lagAdjusted(timeout))
+	if s.ctx.Err() != nil {
+		return false
 	}
 	switch {
-	case err != nil:
-		return s.handleUnanswered(err), false
-	case result == Fenced:
+	case r.err != nil:
+		return s.handleUnanswered(r.err)
+	case r.result == Fenced:
 		s.opts.Emit(Superseded{Executor: s.endpoint.ID})
-		return false, false
-	case result != Accepted:
-		s.loseContact(string(result), false)
-		return false, false
-	case s.restarted(report) && !s.opts.Owns():
+		return false
+	case r.result != Accepted:
+		s.loseContact(string(r.result), false)
+		return false
+	case s.restarted(r.report) && !s.opts.Owns():
 		s.loseContact("executor restarted while ownership is not confirmed", false)
-		return false, false
+		return false
 	}
-	s.handleReport(report, sent)
-	return true, false
+	s.handleReport(r.report, sent)
+	return true
 }
 
 // takeNewEnds returns the ended runs that no earlier event carried, and ends the attempts to start them. The caller holds the lock.
@@ -155,8 +146,6 @@
 // handleReport updates the session from a report and emits Reported. sent is when the hold was sent.
 func (s *Session) handleReport(r workload.Report, sent time.Duration) {
 	now := s.opts.Now()
-	s.reports.Lock()
-	defer s.reports.Unlock()
 	s.mu.Lock()
 	restarted := s.incarnation != 0 && r.BornUnixMS != s.incarnation
 	if restarted {
--- a/session/late.go
+++ b/session/late.go
@@ -31,81 +31,82 @@
 
 func (l *LateHolds) release() { l.n.Add(-1) }
 
-// errNoResponseInTime means that the response to a hold may still come; see sendHold.
-var errNoResponseInTime = errors.Wrap(ErrNoResponse, context.DeadlineExceeded.Error())
+// holdResponse is the response to a hold.
+type holdResponse struct {
+	report workload.Report
+	result Result
+	err    error
+}
 
-// States of a hold.
-const (
-	holdOpen int32 = iota
-	holdAnswered
-	// holdLate means that the time-out has passed, and that another goroutine repeats the holds.
-	holdLate
-)
+// errNoResponseInTime means that the response to a hold may still come; see handleLateResponse.
+var errNoResponseInTime = errors.Wrap(ErrNoResponse, context.DeadlineExceeded.Error())
 
-// sendHold sends a hold and waits for its response. At the time-out the hold is cancelled; or, within the limits of late holds, another
-// goroutine goes on as after a hold without a response, and this one waits for up to maxLateness more. Then late is set, and the
-// ended runs of the response have been handled.
-func (s *Session) sendHold(order HoldOrder, timeout time.Duration) (report workload.Report, result Result, err error, late bool) {
+// sendHold sends a hold and waits for its response until the time-out. A response that comes later is still awaited, for
+// maxLateness, if the budget of such holds allows.
+func (s *Session) sendHold(order HoldOrder, timeout time.Duration) holdResponse {
 	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
-	var state atomic.Int32
-	timer := time.AfterFunc(timeout, func() {
-		if !s.beginLateHold() {
-			cancel()
-			return
-		}
-		if !state.CompareAndSwap(holdOpen, holdLate) {
-			s.endLateHold()
-			return
-		}
-		time.AfterFunc(maxLateness, cancel)
-		s.pauseAfterHold(s.handleUnanswered(errNoResponseInTime))
-		s.run()
-	})
+	responses := make(chan holdResponse, 1)
+	go func() {
+		report, result, err := s.opts.Client.Hold(ctx, s.endpoint, order)
+		responses <- holdResponse{report, result, err}
+	}()
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	report, result, err = s.opts.Client.Hold(ctx, s.endpoint, order)
-	if state.CompareAndSwap(holdOpen, holdAnswered) {
-		if err != nil && ctx.Err() != nil {
-			err = errNoResponseInTime
+	for {
+		select {
+		case r := <-responses:
+			cancel()
+			return r
+		case late := <-s.lateResponses:
+			s.handleLateResponse(late)
+		case <-timer.C:
+			s.awaitLateResponse(responses, cancel)
+			return holdResponse{err: errNoResponseInTime}
 		}
-		return report, result, err, false
-	}
-	s.endLateHold()
-	if err == nil && result == Accepted && s.ctx.Err() == nil {
-		s.handleLateResponse(report)
 	}
-	return report, result, err, true
 }
 
-// beginLateHold reports whether a hold may go on after its time-out. A session has one such hold at a time.
-func (s *Session) beginLateHold() bool {
+// awaitLateResponse passes a response that comes within maxLateness to lateResponses, and cancels the hold then. A session
+// has one such hold at a time.
+func (s *Session) awaitLateResponse(responses <-chan holdResponse, cancel context.CancelFunc) {
 	if s.awaitingLate.Swap(true) {
-		return false
+		cancel()
+		return
 	}
 	if !s.opts.LateHolds.acquire() {
 		s.awaitingLate.Store(false)
-		return false
+		cancel()
+		return
 	}
-	return true
-}
-
-func (s *Session) endLateHold() {
-	s.opts.LateHolds.release()
-	s.awaitingLate.Store(false)
+	go func() {
+		defer s.opts.LateHolds.release()
+		defer s.awaitingLate.Store(false)
+		defer cancel()
+		timer := time.NewTimer(maxLateness)
+		defer timer.Stop()
+		select {
+		case r := <-responses:
+			if r.err == nil && r.result == Accepted {
+				select {
+				case s.lateResponses <- r:
+				case <-s.ctx.Done():
+				}
+			}
+		case <-timer.C:
+		}
+	}()
 }
 
 // handleLateResponse takes the ended runs from a response that came after its time-out. They stay ended, unlike the rest of the
 // report, which may be out of date.
-func (s *Session) handleLateResponse(r workload.Report) {
-	s.reports.Lock()
-	defer s.reports.Unlock()
+func (s *Session) handleLateResponse(r holdResponse) {
 	s.mu.Lock()
 	if s.incarnation == 0 {
-		s.incarnation = r.BornUnixMS
+		s.incarnation = r.report.BornUnixMS
 	}
 	var ended []workload.EndedTask
-	if r.BornUnixMS == s.incarnation {
-		ended = s.takeNewEnds(r.Ended)
+	if r.report.BornUnixMS == s.incarnation {
+		ended = s.takeNewEnds(r.report.Ended)
 	}
 	incarnation, lastEnd := s.incarnation, s.lastEnd
 	s.mu.Unlock()
@@ -113,3 +114,19 @@
 		s.opts.Emit(ReportedLate{Executor: s.endpoint.ID, BornUnixMS: incarnation, Ended: ended, LastEnd: lastEnd})
 	}
 }
+
+// pauseBeforeRetry waits for holdRetryPause, and handles a late response meanwhile.
+func (s *Session) pauseBeforeRetry() {
+	timer := time.NewTimer(holdRetryPause)
+	defer timer.Stop()
+	for {
+		select {
+		case late := <-s.lateResponses:
+			s.handleLateResponse(late)
+		case <-timer.C:
+			return
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
--- a/session/session.go
+++ b/session/session.go
@@ -92,11 +92,11 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	wake     chan struct{}
-	// awaitingLate is set while a hold goes on after its time-out.
-	awaitingLate atomic.Bool
-	// reports is held while a response is handled and its event is emitted, so that no report overtakes the ended runs of a late
-	// response, which it leaves out.
-	reports sync.Mutex
+	done     chan struct{}
+	// lateResponses carries responses to holds that came after their time-out to the goroutine that sends the holds.
+	// awaitingLate is set while one is awaited.
+	lateResponses chan holdResponse
+	awaitingLate  atomic.Bool
 
 	mu sync.Mutex
 	// clockMS is what the executor's clock showed at clockAt, in milliseconds.
@@ -132,7 +132,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	s := &Session{
 		opts: opts, endpoint: endpoint, ctx: ctx, stop: stop,
-		wake: make(chan struct{}, 1), holdWait: time.Second,
+		wake: make(chan struct{}, 1), done: make(chan struct{}), lateResponses: make(chan holdResponse), holdWait: time.Second,
 		fence: opts.Tokens.next(), pendingStarts: make(map[runKey]chan struct{}), ambiguousStarts: make(map[runKey]time.Duration),
 	}
 	s.inheritedUntil = opts.Now() + maxElapsed(opts.InheritedLease) + expiryMargin
