Log the evidence on which a run is taken to be gone

'task starts' of a later run names the run before it and the cause; the lines that end a run without a listed end have the evidence: how long the executor was silent and whether it refused connections, when the report was requested and when the last order was answered, whether a report had shown the run before its start was refused, and how many attempts of a start were not answered. No decision changes.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -208,6 +208,12 @@
 	case session.Started:
 		outcome := startOutcome(e.Result)
 		l.opts.Metrics.observeStart(string(e.Result), e.Took)
+		if e.Unanswered > 0 {
+			l.log.WithFields(log.Fields{
+				"subject": e.Task.String(), "executor": e.Executor, "run": e.Run, "result": string(e.Result), "attempts": e.Attempts,
+				"unanswered": e.Unanswered, "took_ms": e.Took.Milliseconds(),
+			}).Info("start had unanswered attempts")
+		}
 		l.core.Started(now, e.Executor, e.Task, e.Run, outcome, string(e.Result))
 	case session.Stopped:
 		l.core.Stopped(now, e.Executor, e.Task, e.Run)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -88,8 +88,9 @@
 )
 
 // requeue takes a task off its executor after its run is gone, and makes it pending again unless it is done.
-func (c *Core) requeue(now time.Duration, t *task) {
+func (c *Core) requeue(now time.Duration, t *task, cause lossCause) {
 	if t.exec != nil {
+		t.previous = endOfRun{executor: t.exec.info.ID, run: t.run, cause: cause}
 		c.dirtyServices[t.exec.info.Service] = true
 		t.exec.detach(t, now)
 	}
@@ -133,10 +134,9 @@
 		t.step.permits = nil
 	}
 	c.addDecision(tid.String(), "start refused", map[string]any{
-		"executor": id, "run": run, "reason": reason, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
+		"executor": id, "run": run, "reason": reason, "reported": t.state == taskRunning, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
 	})
-	t.lastLoss = lossStartRefused
-	c.requeue(now, t)
+	c.requeue(now, t, lossStartRefused)
 	t.notBefore = max(t.notBefore, now)
 }
 
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -139,15 +139,23 @@
 		c.recordCrash(now, e, at)
 	}
 	for t := range e.tasks {
-		c.addDecision(t.id.String(), "run ended with its executor", map[string]any{"executor": id, "run": t.run})
-		t.lastLoss = lossExecutorEnded
-		c.requeue(now, t)
+		c.addDecision(t.id.String(), "run ended with its executor", e.silenceFields(now, t))
+		c.requeue(now, t, lossExecutorEnded)
 	}
 	c.markReconciled(id)
 	c.removeMember(e)
 	delete(c.executors, id)
 }
 
+// silenceFields returns the log fields of a run on an executor that is taken to be gone with it.
+func (e *executor) silenceFields(now time.Duration, t *task) map[string]any {
+	fields := map[string]any{"executor": e.info.ID, "run": t.run, "in_contact": e.inContact, "refused": e.refused}
+	if !e.inContact {
+		fields["silent_ms"] = (now - e.noContactSince).Milliseconds()
+	}
+	return fields
+}
+
 // LoseContact records that an executor does not respond. refused means that it refused connections.
 func (c *Core) LoseContact(now time.Duration, id string, refused bool) {
 	if e := c.executors[id]; e != nil && e.inContact {
@@ -205,9 +213,8 @@
 			// The start order may still be carried out; its own outcome shows when that is over.
 			continue
 		}
-		c.addDecision(t.id.String(), "run lapsed with its executor", map[string]any{"executor": id, "run": t.run})
-		t.lastLoss = lossLeaseExpired
-		c.requeue(now, t)
+		c.addDecision(t.id.String(), "run lapsed with its executor", e.silenceFields(now, t))
+		c.requeue(now, t, lossLeaseExpired)
 	}
 	c.dirtyServices[e.info.Service] = true
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -420,6 +420,7 @@
 	if t.job.inherited && len(c.unreconciled) > 0 {
 		fields["accepted_config"], fields["unreconciled"] = t.job.spec.ConfigVersion, c.unreconciledServices()
 	}
+	t.previous.addTo(fields)
 	c.addDecision(t.id.String(), "task starts", fields)
 }
 
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -42,9 +42,14 @@
 			continue
 		}
 		if t.absent(sentAt, restarted) {
-			c.addDecision(t.id.String(), "run is gone without an end", map[string]any{"executor": id, "run": t.run})
-			t.lastLoss = lossAbsent
-			c.requeue(now, t)
+			fields := map[string]any{
+				"executor": id, "run": t.run, "requested_ms_ago": (now - sentAt).Milliseconds(), "restarted": restarted,
+			}
+			if t.respondedAt != never {
+				fields["responded_ms_ago"] = (now - t.respondedAt).Milliseconds()
+			}
+			c.addDecision(t.id.String(), "run is gone without an end", fields)
+			c.requeue(now, t, lossAbsent)
 		}
 	}
 	if r.BornUnixMS != e.incarnation {
@@ -155,7 +160,11 @@
 	}
 	e.unwantedStopAt[id] = now
 	c.commands = append(c.commands, StopTask{Executor: e.info.ID, Task: id, Run: run})
-	c.addDecision(id.String(), "unwanted run stops", map[string]any{"executor": e.info.ID, "run": run, "reason": reason})
+	fields := map[string]any{"executor": e.info.ID, "run": run, "reason": reason}
+	if t := c.task(id); t != nil {
+		t.previous.addTo(fields)
+	}
+	c.addDecision(id.String(), "unwanted run stops", fields)
 }
 
 // handleEnded handles an end that a report lists. The same end is listed until it is acknowledged.
@@ -171,7 +180,7 @@
 	current := t.exec == e && t.run == x.Run
 	if x.Outcome == workload.EndDone && t.run > x.Run {
 		c.addDecision(t.id.String(), "run ended as done after the task was started again", map[string]any{
-			"executor": e.info.ID, "run": x.Run, "later_run": t.run, "how_lost": string(t.lastLoss), "end": x.Number,
+			"executor": e.info.ID, "run": x.Run, "later_run": t.run, "how_lost": string(t.previous.cause), "end": x.Number,
 		})
 	}
 	switch x.Outcome {
@@ -190,7 +199,7 @@
 		}
 	}
 	if current {
-		c.requeue(now, t)
+		c.requeue(now, t, lossEndListed)
 	}
 	t.endedRun = max(t.endedRun, x.Run)
 	if t.job.status.Final() {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -73,14 +73,29 @@
 	pace int
 	// requeues counts how often the task became pending again after a start.
 	requeues int
-	// lastLoss is why a run was last taken to be gone although no end of it was listed.
-	lastLoss lossCause
+	// previous is the run before the current one.
+	previous endOfRun
 }
 
-// lossCause is why a run is taken to be gone although no end of it was listed. The values are log fields.
+// endOfRun says which run of a task this owner last took to be gone, and why. It is empty before the first one.
+type endOfRun struct {
+	executor string
+	run      int
+	cause    lossCause
+}
+
+// addTo adds the run to log fields.
+func (r endOfRun) addTo(fields map[string]any) {
+	if r.cause != "" {
+		fields["previous_executor"], fields["previous_run"], fields["how_lost"] = r.executor, r.run, string(r.cause)
+	}
+}
+
+// lossCause is why a run is taken to be gone. The values are log fields.
 type lossCause string
 
 const (
+	lossEndListed     lossCause = "end listed"
 	lossAbsent        lossCause = "absent from a report"
 	lossExecutorEnded lossCause = "executor ended"
 	lossLeaseExpired  lossCause = "leases expired"
--- a/session/events.go
+++ b/session/events.go
@@ -59,6 +59,8 @@
 	At       time.Duration
 	// Took is the time from the order to its outcome.
 	Took time.Duration
+	// Attempts is the number of attempts, Unanswered that of those without a response, which may have been carried out.
+	Attempts, Unanswered int
 }
 
 // Stopped is the outcome of a stop order.
--- a/session/orders.go
+++ b/session/orders.go
@@ -14,18 +14,20 @@
 func (s *Session) Start(o StartOrder) {
 	go func() {
 		began := s.opts.Now()
-		result := s.start(o)
+		e := Started{Executor: s.endpoint.ID, Task: o.Task, Run: o.Run}
+		e.Result = s.start(o, &e)
 		if s.ctx.Err() != nil {
 			return
 		}
-		now := s.opts.Now()
-		s.opts.Emit(Started{Executor: s.endpoint.ID, Task: o.Task, Run: o.Run, Result: result, At: now, Took: now - began})
+		e.At = s.opts.Now()
+		e.Took = e.At - began
+		s.opts.Emit(e)
 	}()
 }
 
-// start sends the order until the executor responds or can no longer carry it out. Retrying is safe because an executor
-// starts a run only once.
-func (s *Session) start(o StartOrder) Result {
+// start sends the order until the executor responds or can no longer carry it out, and counts the attempts in e. Retrying is safe
+// because an executor starts a run only once.
+func (s *Session) start(o StartOrder, e *Started) Result {
 	if !s.authorised() {
 		return NotSent
 	}
@@ -41,6 +43,7 @@
 	for tries := 1; ; tries++ {
 		resp, err := Response{}, errNotOwner
 		if s.authorised() {
+			e.Attempts++
 			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
 		}
 		switch {
@@ -65,6 +68,7 @@
 			return NotSent
 		case !errors.Is(err, ErrNotSent):
 			ambiguous = true
+			e.Unanswered++
 			s.recordAmbiguousStart(key)
 			s.handleFailedAttempt(tries, err)
 		}
