Failing tests: two runs of a task whose executor restarts during its start

Through the real control path (package coordinator), on the unchanged code: 'job.0.0.2 runs on x0 and x1'.

--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/scheduler"
+	"github.com/tamarackworks/tamarackworks/session"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/standin/workers"
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -343,6 +344,21 @@
 
 }
 
+// Guards against two runs of a task at once: an executor restarts during a start, carries one attempt out and rejects the next one.
+func TestTasksStartedAcrossARestartRunOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newClusterWithClient(t, 1, 2, func(f *workers.Fleet) session.Client { return workers.NewRestartDuringStart(f, "x0") })
+		c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 2 * time.Second, workload.EndDone })
+		c.fleet.SetStopTime(900 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		c.submit("job", plainStep(3))
+		c.awaitAll([]string{"job"}, workload.StatusCompleted, 30*time.Second)
+		c.checkViolations()
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 3, "history: %v", c.fleet.History())
+	})
+}
+
 // Guards against tasks that run twice because the owner receives the responses of the executors, which list the ends of the first
 // runs, later than it waits for them.
 func TestTasksWhoseEndsAreListedLateRunOnce(t *testing.T) {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -119,6 +119,8 @@
 	startedAt time.Time
 	store     *rows.Store
 	fleet     *workers.Fleet
+	// executors is the client of the fleet that the hosts use.
+	executors session.Client
 	machines  *testMachines
 	hosts     []*host
 
@@ -155,7 +157,7 @@
 // hostClient calls executors for a host. Starts, stops and holds of a killed host are not sent. Those to unreachable executors
 // get no response, and neither do those in flight when the executor becomes unreachable.
 type hostClient struct {
-	*workers.Fleet
+	session.Client
 	host *host
 }
 
@@ -175,7 +177,7 @@
 	if !c.awaitReachable(ctx, to.ID) {
 		return session.Response{}, session.ErrNoResponse
 	}
-	resp, err := c.Fleet.Stop(ctx, to, task, run, fence)
+	resp, err := c.Client.Stop(ctx, to, task, run, fence)
 	if !c.awaitReachable(ctx, to.ID) {
 		return session.Response{}, session.ErrNoResponse
 	}
@@ -189,7 +191,7 @@
 	if !c.awaitReachable(ctx, to.ID) {
 		return session.Response{}, session.ErrNoResponse
 	}
-	resp, err := c.Fleet.Start(ctx, to, o)
+	resp, err := c.Client.Start(ctx, to, o)
 	if !c.awaitReachable(ctx, to.ID) {
 		return session.Response{}, session.ErrNoResponse
 	}
@@ -203,7 +205,7 @@
 	if !c.awaitReachable(ctx, to.ID) {
 		return workload.Report{}, "", session.ErrNoResponse
 	}
-	report, result, err := c.Fleet.Hold(ctx, to, o)
+	report, result, err := c.Client.Hold(ctx, to, o)
 	if !c.awaitReachable(ctx, to.ID) {
 		return workload.Report{}, "", session.ErrNoResponse
 	}
@@ -223,7 +225,13 @@
 
 // newCluster starts hosts, and executors x0, x1, ... on machines m0, m1, ...
 func newCluster(t *testing.T, hosts, executors int) *cluster {
+	return newClusterWithClient(t, hosts, executors, func(f *workers.Fleet) session.Client { return f })
+}
+
+// newClusterWithClient does the same with hosts that call the executors through the client that wrap returns.
+func newClusterWithClient(t *testing.T, hosts, executors int, wrap func(*workers.Fleet) session.Client) *cluster {
 	c := &cluster{t: t, startedAt: time.Now(), store: rows.New(), fleet: workers.New()}
+	c.executors = wrap(c.fleet)
 	c.machines = &testMachines{machines: make(map[string]workload.Machine), done: make(map[string]bool), fleet: c.fleet, store: c.store}
 	config, _ := json.Marshal(workload.Configuration{
 		Version: 1, Services: []workload.Service{{Name: testService, ChecksCapacity: true}},
@@ -257,7 +265,7 @@
 		return nil
 	}), Level: log.InfoLevel}
 	h.coordinator = New(Options{
-		Store: h.handle, Directory: testDirectory{}, Executors: hostClient{c.fleet, h}, Machines: c.machines,
+		Store: h.handle, Directory: testDirectory{}, Executors: hostClient{c.executors, h}, Machines: c.machines,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, OwnsJobsUntil: func() time.Duration { return h.manager.OwnsJobsUntil() },
 		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -34,6 +34,11 @@
 const maxLease = 10 * time.Second
 
 func newHarness(t *testing.T) *harness {
+	return newHarnessWithClient(t, func(f *workers.Fleet) session.Client { return f })
+}
+
+// newHarnessWithClient returns a harness whose session calls the executor through the client that wrap returns.
+func newHarnessWithClient(t *testing.T, wrap func(*workers.Fleet) session.Client) *harness {
 	h := &harness{fleet: workers.New(), owns: true}
 	h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
 	began := time.Now()
@@ -45,7 +50,7 @@
 	}
 	h.mu.Lock()
 	h.session = session.New(ctx, session.Endpoint{ID: "x"}, session.Options{
-		Client: h.fleet, Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
+		Client: wrap(h.fleet), Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
 		Now: func() time.Duration { return time.Since(began) }, Owns: owns,
 		MayContinue: func() bool { return owns() || h.continues.Load() },
 		Losses:      session.NewLossMonitor(), LateHolds: &session.LateHolds{}, Lag: func() time.Duration { return time.Duration(h.lag.Load()) },
@@ -234,6 +239,19 @@
 	})
 }
 
+// Guards against a task that runs twice: the next incarnation of an executor carries out an attempt of its start whose response is lost, and
+// rejects the next attempt, because a newer fencing token has arrived in between.
+func TestAttemptFencedAfterARestartDoesNotHideARun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarnessWithClient(t, func(f *workers.Fleet) session.Client { return workers.NewRestartDuringStart(f, "x") })
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Minute, workload.EndDone })
+		h.session.Start(order(1))
+		time.Sleep(5 * time.Second)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Unclear})
+		assert.Equal(t, len(h.fleet.Running()["x"]), 1, "history: %v", h.fleet.History())
+	})
+}
+
 // An unhealthy executor may refuse to stop a run of which the start is still under way. Unless the stop is repeated, the
 // executor carries the start out later, while the task has been started on another executor.
 func TestStopIsRepeatedAtAnUnhealthyExecutor(t *testing.T) {
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -18,8 +18,8 @@
 
 const (
 	defaultResponseTime = 2 * time.Millisecond
-	// stopTime is how long a task runs on after a stop order.
-	stopTime = 100 * time.Millisecond
+	// defaultStopTime is how long a task runs on after a stop order.
+	defaultStopTime = 100 * time.Millisecond
 )
 
 // Fleet is a set of executors. It implements session.Client.
@@ -30,7 +30,8 @@
 	// duration returns how long a task runs if it is not interrupted, and how it ends then.
 	duration func(workload.TaskID) (time.Duration, workload.End)
 	// size is the capacity that each task takes from its executor.
-	size workload.Resources
+	size     workload.Resources
+	stopTime time.Duration
 	// fault returns the fault of an order; nil means no faults.
 	fault func(executor, order string) Fault
 
@@ -112,7 +113,7 @@
 	return &Fleet{
 		executors: make(map[string]*executor), startedAt: time.Now(),
 		duration: func(workload.TaskID) (time.Duration, workload.End) { return 500 * time.Millisecond, workload.EndDone },
-		size:     workload.Resources{CPUMilli: 1000}, responseTime: defaultResponseTime, slowExecutors: make(map[string]time.Duration),
+		size:     workload.Resources{CPUMilli: 1000}, stopTime: defaultStopTime, responseTime: defaultResponseTime, slowExecutors: make(map[string]time.Duration),
 		running: make(map[workload.TaskID]string), acknowledgedDone: make(map[workload.TaskID]bool),
 		startedLast: make(map[workload.TaskID]time.Time),
 	}
@@ -125,6 +126,13 @@
 	f.duration = duration
 }
 
+// SetStopTime sets how long a task runs on after a stop order.
+func (f *Fleet) SetStopTime(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stopTime = d
+}
+
 // SetResponseTime sets the time from an order to its execution and response.
 func (f *Fleet) SetResponseTime(d time.Duration) {
 	f.mu.Lock()
@@ -168,6 +176,14 @@
 	}
 }
 
+// Restart crashes an executor and starts a new incarnation with the same capacity at once.
+func (f *Fleet) Restart(id string) {
+	f.mu.Lock()
+	capacity := f.executors[id].capacity
+	f.mu.Unlock()
+	f.Add(id, capacity)
+}
+
 // Crash ends an executor and the runs on it.
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
@@ -410,7 +426,7 @@
 		e.highestRun[task] = max(e.highestRun[task], number)
 		f.record("%s run %d is ordered to stop on %s fence %d", task, number, e.id, fence)
 		if r := e.runs[task]; r != nil && r.number <= number {
-			time.AfterFunc(stopTime, func() { f.endRun(e, task, r, workload.EndStopped) })
+			time.AfterFunc(f.stopTime, func() { f.endRun(e, task, r, workload.EndStopped) })
 		}
 		return session.Accepted
 	})
