Keep a start open of which one attempt was fenced and another one not answered

Cause: an executor that restarts under its id while a start is under way knows no fencing token. It can carry out an attempt whose response is lost or comes late. Its first report gives the session a new token, and the next attempt, with the old token, is rejected. start() took this rejection for the outcome of the whole order (other_incarnation, 'start refused'), and the scheduler started the task elsewhere at once, while the first run went on until its stop took effect. Class: a refusal of one attempt is taken for all attempts of an order. Change: with an unanswered attempt, a fenced attempt makes the outcome unclear, like one that comes after the deadline. No later attempt can start the run on this incarnation any more, so the next report, requested after the outcome, shows whether it runs.

--- a/session/orders.go
+++ b/session/orders.go
@@ -51,16 +51,17 @@
 			return Accepted
 		case err == nil && s.superseded(resp, o.Fence):
 			return Fenced
-		case err == nil && resp.Result == Fenced:
-			return OtherIncarnation
 		case err == nil && resp.Result == OldRun:
 			return Unclear
-		case err == nil && ambiguous && resp.Result == TooLate:
-			// No attempt can start the run any more, but an unanswered one may have started it before the deadline.
+		case err == nil && ambiguous && resp.Result.isFinal():
+			// No attempt can start the run any more, but an unanswered one may have started it before the deadline passed, or before
+			// this incarnation of the executor got its fencing token.
 			return Unclear
-		case err == nil && ambiguous && !resp.Result.isFinal():
+		case err == nil && ambiguous && resp.Result != OtherIncarnation:
 			// An earlier attempt may still arrive at a time when the executor accepts it, for example when it has room again.
 			return s.cancelStart(o)
+		case err == nil && resp.Result == Fenced:
+			return OtherIncarnation
 		case err == nil:
 			return resp.Result
 		case errors.Is(err, ErrNotSent) && !ambiguous:
@@ -92,10 +93,8 @@
 // errNotOwner means that an attempt was not made, because another process may own the executors by now.
 var errNotOwner = errors.Wrap(ErrNotSent, "ownership is not confirmed")
 
-// isFinal reports whether all attempts of the same order that arrive after this result are refused too.
-func (r Result) isFinal() bool {
-	return r == TooLate || r == OtherIncarnation || r == Fenced
-}
+// isFinal reports whether the executor refuses all attempts of the same order that arrive after this result.
+func (r Result) isFinal() bool { return r == TooLate || r == Fenced }
 
 // cancelStart ensures that a start with an unanswered attempt is not carried out later. It is called when the executor has
 // refused another attempt, or has become another incarnation, to whose clock the deadline of the order does not apply. It
