Do not stop runs that the next incarnation of an executor has started

Cause: when an executor has restarted, the session stops all starts with an unanswered attempt, because the new incarnation would carry out an attempt that comes late. A start that it has carried out already, and lists as running, was among them. The scheduler, which counts that run, did not know of the stop. Change: runs that the first report of the new incarnation lists are left out. It knows them, so a further attempt starts nothing; a run that is not wanted is stopped by the scheduler.

--- a/session/hold.go
+++ b/session/hold.go
@@ -162,15 +162,21 @@
 	s.clockMS, s.clockAt = r.ClockMS, now
 	r.Ended = s.takeNewEnds(r.Ended)
 	lastEnd := s.lastEnd
+	known := make(map[runKey]bool, len(r.Running))
 	for _, x := range r.Running {
-		s.resolveStart(runKey{x.Task, x.Run})
+		key := runKey{x.Task, x.Run}
+		known[key] = true
+		s.resolveStart(key)
 	}
 	lateRuns := s.possiblyLateRuns()
 	s.mu.Unlock()
 	if restarted {
-		// The new incarnation does not know the runs of the old one and would carry out a start order that arrives late.
+		// The new incarnation does not know the runs of the old one, except those that it has started itself, and would carry out a start
+		// order that arrives late.
 		for _, key := range lateRuns {
-			s.Stop(key.task, key.run)
+			if !known[key] {
+				s.Stop(key.task, key.run)
+			}
 		}
 	}
 	s.opts.Emit(Reported{
