A refused start does not outweigh a report that shows the run

A session may still get there, for example when it gives up after 13 s to retract a start at an executor that rejects its stops, while the reports of that executor show the run. Change: a refusal of a run that a report has shown counts as unclear: the next report that is requested later decides. Before: TestRefusalsDoNotOutweighReportsThatShowTheRun (no task on the executor, and a second start). After: it passes; tests of scheduler, session and coordinator pass.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -626,3 +626,31 @@
 	h.advance(time.Second)
 	assert.Equal(t, len(h.starts), 0)
 }
+
+// Guards against two runs of a task at once: the start is said to be refused after a report has shown the run, because the refusal is that of
+// another attempt.
+func TestRefusalsDoNotOutweighReportsThatShowTheRun(t *testing.T) {
+	for _, stopped := range []bool{false, true} {
+		h := newHarness(t, 2)
+		h.addJob("j", batchStep(1, 1000))
+		h.core.Schedule(h.now, h.now)
+		start := h.core.Commands()[0].(StartTask)
+		h.now += 100 * time.Millisecond
+		h.running[start.Executor][start.Task] = workload.RunningTask{Task: start.Task, Run: start.Run}
+		h.report(start.Executor)
+		if stopped {
+			h.core.Cancel(h.now, "j")
+		}
+		h.now += 100 * time.Millisecond
+		h.core.Started(h.now, start.Executor, start.Task, start.Run, StartRefused, "other_incarnation")
+		assert.DeepEqual(t, h.core.TasksOn(start.Executor), []workload.TaskID{start.Task})
+		h.runCommands()
+		assert.Equal(t, len(h.starts), 0, "stopped: %t", stopped)
+
+		h.now += 100 * time.Millisecond
+		delete(h.running[start.Executor], start.Task)
+		h.report(start.Executor)
+		h.runCommands()
+		assert.Equal(t, len(h.starts), map[bool]int{false: 1, true: 0}[stopped], "a report without the run shows that it is gone")
+	}
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -108,13 +108,17 @@
 	c.dirtyServices[t.job.service] = true
 }
 
-// Started handles the outcome of a start order.
+// Started handles the outcome of a start order. A refusal does not count once a report has shown the run: another attempt of the order may
+// have been carried out.
 func (c *Core) Started(now time.Duration, id string, tid workload.TaskID, run int, outcome Outcome, reason string) {
 	t := c.task(tid)
 	e := c.executors[id]
 	if t == nil || e == nil || t.exec != e || t.run != run {
 		return
 	}
+	if t.reportedRun == run {
+		outcome = StartUnclear
+	}
 	switch outcome {
 	case StartAccepted, StartUnclear:
 		t.job.slowestStart = max(t.job.slowestStart, now-t.orderedAt)
@@ -134,7 +138,7 @@
 		t.step.permits = nil
 	}
 	c.addDecision(tid.String(), "start refused", map[string]any{
-		"executor": id, "run": run, "reason": reason, "reported": t.state == taskRunning, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
+		"executor": id, "run": run, "reason": reason, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
 	})
 	c.requeue(now, t, lossStartRefused)
 	t.notBefore = max(t.notBefore, now)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -106,6 +106,7 @@
 	case t == nil:
 		c.stopUnwanted(now, e, x.Task, x.Run, "no job needs it")
 	case t.exec == e && t.run == x.Run:
+		t.reportedRun = x.Run
 		if t.state == taskStarting {
 			t.setState(taskRunning)
 			t.startedAt, t.progressChangedAt, t.respondedAt = now, now, now
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -44,6 +44,8 @@
 	exec  *executor
 	// run is the number of the current or last run; each start has a higher one.
 	run int
+	// reportedRun is the last run that a report showed on the executor where this owner started it.
+	reportedRun int
 	// endedRun is the highest run that is known to have ended or to be gone.
 	endedRun int
 	// failedRuns holds each failed run once.
