Log why an executor is concluded to have ended

Change: one line before each such end with the reason, the machine on which a list last showed the executor, whether this list has the machine and in which state, the silence and the age of the list. The owner remembers the machine of each executor for that. No decision changes; the tests of the package pass as before.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -38,6 +38,8 @@
 	list []workload.Machine
 	// index holds the index of each machine in list.
 	index map[string]int
+	// machineOf holds the machine on which a list last showed each executor that is listed or has a record.
+	machineOf map[string]string
 	// listedAt is when the last list was requested, or when a request last failed or its list was not used.
 	listedAt time.Duration
 	// listing is set while a list is being requested.
@@ -73,7 +75,7 @@
 		ordersAllowedAt: firstOrderAt, waves: make(map[string]*pools.Wave), progress: make(map[string]waveProgress),
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
-		confirmedAt: make(map[string]time.Duration), arrivals: pools.NewArrivals(), endedIncarnations: make(map[string]int64),
+		confirmedAt: make(map[string]time.Duration), machineOf: make(map[string]string), arrivals: pools.NewArrivals(), endedIncarnations: make(map[string]int64),
 		unverified: make(map[string]string),
 	}
 }
@@ -86,6 +88,22 @@
 	}
 }
 
+// locateExecutors notes on which machine a list shows each executor, and forgets executors that are neither listed nor recorded.
+func (l *leadership) locateExecutors(list []workload.Machine) {
+	machineOf := make(map[string]string, len(list))
+	for id := range l.executorRecords {
+		if machine, ok := l.machines.machineOf[id]; ok {
+			machineOf[id] = machine
+		}
+	}
+	for _, machine := range list {
+		if machine.Executor != "" && machine.ID != "" {
+			machineOf[machine.Executor] = machine.ID
+		}
+	}
+	l.machines.machineOf = machineOf
+}
+
 func (m *machineState) configure(config *workload.Configuration) { m.pools = config.Services }
 
 // machineEvent is the event that a call to the machine service ended: a request for the list of machines if isList is set,
@@ -257,12 +275,13 @@
 			listed[machine.Executor] = true
 		}
 		m.setList(e.list, e.sentAt)
+		l.locateExecutors(e.list)
 		for i := range m.list {
 			if at, ok := m.confirmedAt[m.list[i].ID]; ok && e.sentAt < at {
 				m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
 				continue
 			}
-			l.verifyOrder(now, m.list[i])
+			l.verifyOrder(now, e.sentAt, m.list[i])
 		}
 		l.endUnlistedExecutors(now, e.sentAt, listed)
 		return
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
 	"github.com/tamarackworks/tamarackworks/elapsed"
@@ -95,7 +96,7 @@
 
 // verifyOrder checks on a listed machine whether its confirmed order ended the executor. The service also confirms an order
 // that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned.
-func (l *leadership) verifyOrder(now time.Duration, machine workload.Machine) {
+func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
 	id, ok := l.machines.unverified[machine.ID]
 	if !ok {
 		return
@@ -105,7 +106,7 @@
 		l.core.Cordon(now, id, false)
 		return
 	}
-	l.endExecutor(now, id)
+	l.endExecutor(now, id, endEvidence{reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt})
 }
 
 // listMargin is how long after an executor's registration or last contact a list must have been requested to be certain to
@@ -122,16 +123,45 @@
 	for id := range l.executorRecords {
 		since, lost := l.core.NoContactSince(id)
 		if lost && !listed[id] && sentAt > since+listMargin {
-			l.endExecutor(now, id)
+			l.endExecutor(now, id, l.absenceEvidence(id, sentAt))
 		}
 	}
 }
 
+// absenceEvidence describes the list requested at sentAt, which does not name an executor.
+func (l *leadership) absenceEvidence(id string, sentAt time.Duration) endEvidence {
+	m := &l.machines
+	e := endEvidence{reason: "not listed", machine: m.machineOf[id], listedAt: sentAt}
+	if i, ok := m.index[e.machine]; ok {
+		e.listed, e.state = true, m.list[i].State
+	}
+	return e
+}
+
+// endEvidence says from what the owner concludes that an executor has ended.
+type endEvidence struct {
+	reason string
+	// machine is where the executor was last seen, empty if unknown; listed and state are what the list shows of it.
+	machine string
+	listed  bool
+	state   workload.MachineState
+	// listedAt is when the list was requested.
+	listedAt time.Duration
+}
+
 // endExecutor records that an executor and all its tasks have certainly ended. An empty ID is ignored.
-func (l *leadership) endExecutor(now time.Duration, id string) {
+func (l *leadership) endExecutor(now time.Duration, id string, because endEvidence) {
 	if id == "" {
 		return
 	}
+	silent := time.Duration(0)
+	if since, lost := l.core.NoContactSince(id); lost {
+		silent = now - since
+	}
+	l.log.WithFields(log.Fields{
+		"executor": id, "reason": because.reason, "machine": because.machine, "machine_listed": because.listed, "state": string(because.state),
+		"silent_ms": silent.Milliseconds(), "list_age_ms": (now - because.listedAt).Milliseconds(),
+	}).Info("executor concluded to have ended")
 	l.machines.endedIncarnations[id] = l.core.Incarnation(id)
 	l.core.EndExecutor(now, id)
 	l.dropExecutor(id)
