Require a complete list of machines for the end of an executor

That this cause is theirs is not shown: their record does not hold the lists.

Cause: the list of machines comes in pages of 200, read one after the other at offsets into the machines of each moment. When a machine of a page that was read is removed (crashed for good, scaled in) before the next page is read, the machine at the boundary moves to the page that was read and is in none. If the owner has no contact with its executor then, endUnlistedExecutors took the executor for ended and its tasks started elsewhere while they ran.

Ruled out: that a page is too old (the margin after the loss of contact is kept); additions, which repeat a machine and hide none, unless removals of machines that no page had shown make up for them, which the check for repeated machines finds.

Change: an executor has ended by the lists if its machine is listed with another executor or without one (moving, in maintenance, down, or up in another pool), or if both are missing from a list that is known to be complete, and from the one after it. A list of one page is complete. A machine that is up without the ID of an executor in the pool where the executor was seen shows nothing; before, the executor ended. A new owner knows the machine of an executor only from its own lists; until then any machine that is up without an ID in the executor's pool may be it. List returns its pages.

Limit: a machine that is removed between two pages and is back under its ID in the next list is not noticed; the executor must also be missing from that list.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -56,7 +56,9 @@
 // Machines calls the machine service, which moves machines between pools and takes them down for maintenance.
 // Orders can be retried safely.
 type Machines interface {
-	List(ctx context.Context) ([]workload.Machine, error)
+	// List returns all machines and the number of reads that it took. A machine may be missing or repeated if others were removed or
+	// added between two reads.
+	List(ctx context.Context) (machines []workload.Machine, pages int, err error)
 	Move(ctx context.Context, o pools.Order) error
 	Maintain(ctx context.Context, o pools.Order) error
 }
--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// activeListInterval is the interval between reads of the machine list while orders, moves or waves are in progress,
-	// idleListInterval the interval otherwise.
+	// activeListInterval is the interval between reads of the machine list while orders, moves or waves are in progress or a list
+	// has to confirm the end of an executor, idleListInterval the interval otherwise.
 	activeListInterval = 250 * time.Millisecond
 	idleListInterval   = 1500 * time.Millisecond
 	// machineTimeout bounds one call to the machine service.
@@ -38,8 +38,11 @@
 	list []workload.Machine
 	// index holds the index of each machine in list.
 	index map[string]int
-	// machineOf holds the machine on which a list last showed each executor that is listed or has a record.
-	machineOf map[string]string
+	// seen holds where a list last showed each executor that is listed or has a record.
+	seen map[string]sighting
+	// surveys holds what the last lists show, and unconfirmed is set if a later one may show that an executor has ended.
+	surveys     surveys
+	unconfirmed bool
 	// listedAt is when the last list was requested, or when a request last failed or its list was not used.
 	listedAt time.Duration
 	// listing is set while a list is being requested.
@@ -62,7 +65,7 @@
 	// unverified holds the executors of machines whose order was confirmed, until a list shows whether the executor is gone.
 	unverified map[string]string
 	// endedIncarnations holds, by executor ID, the incarnations of executors that were ended by an order for their machine,
-	// or that did not respond and ran on no listed machine.
+	// or that did not respond and had ended by the lists.
 	endedIncarnations map[string]int64
 	// usageCountedAt is when machine time was last counted, nextUsageLogAt when usage may be logged again, and loggedUsage
 	// the usage by pool that was logged last.
@@ -75,7 +78,7 @@
 		ordersAllowedAt: firstOrderAt, waves: make(map[string]*pools.Wave), progress: make(map[string]waveProgress),
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
-		confirmedAt: make(map[string]time.Duration), machineOf: make(map[string]string), arrivals: pools.NewArrivals(), endedIncarnations: make(map[string]int64),
+		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), endedIncarnations: make(map[string]int64),
 		unverified: make(map[string]string),
 	}
 }
@@ -88,20 +91,20 @@
 	}
 }
 
-// locateExecutors notes on which machine a list shows each executor, and forgets executors that are neither listed nor recorded.
+// locateExecutors notes where a list shows each executor, and forgets executors that are neither listed nor recorded.
 func (l *leadership) locateExecutors(list []workload.Machine) {
-	machineOf := make(map[string]string, len(list))
+	seen := make(map[string]sighting, len(list))
 	for id := range l.executorRecords {
-		if machine, ok := l.machines.machineOf[id]; ok {
-			machineOf[id] = machine
+		if x, ok := l.machines.seen[id]; ok {
+			seen[id] = x
 		}
 	}
 	for _, machine := range list {
 		if machine.Executor != "" && machine.ID != "" {
-			machineOf[machine.Executor] = machine.ID
+			seen[machine.Executor] = sighting{machine.Executor, machine.ID, machine.Pool}
 		}
 	}
-	l.machines.machineOf = machineOf
+	l.machines.seen = seen
 }
 
 func (m *machineState) configure(config *workload.Configuration) { m.pools = config.Services }
@@ -109,7 +112,9 @@
 // machineEvent is the event that a call to the machine service ended: a request for the list of machines if isList is set,
 // otherwise the order in action.
 type machineEvent struct {
-	list   []workload.Machine
+	list []workload.Machine
+	// pages is the number of reads that the list took.
+	pages  int
 	isList bool
 	sentAt time.Duration
 	action pools.Action
@@ -120,7 +125,7 @@
 func (l *leadership) planMachines(now time.Duration) {
 	m := &l.machines
 	pause := idleListInterval
-	if len(m.pendingOrders) > 0 || l.anyWaveUnfinished() || l.anyMachineMoving() {
+	if len(m.pendingOrders) > 0 || l.anyWaveUnfinished() || l.anyMachineMoving() || m.unconfirmed {
 		pause = activeListInterval
 	}
 	if !m.listing && (m.listedAt == 0 || now-m.listedAt >= pause) {
@@ -250,8 +255,8 @@
 func (l *leadership) listMachines(sent time.Duration) {
 	ctx, cancel := context.WithTimeout(l.ctx, machineTimeout)
 	defer cancel()
-	list, err := l.opts.Machines.List(ctx)
-	l.emit(machineEvent{list: list, isList: true, sentAt: sent, err: err})
+	list, pages, err := l.opts.Machines.List(ctx)
+	l.emit(machineEvent{list: list, pages: pages, isList: true, sentAt: sent, err: err})
 }
 
 // handleMachineEvent applies a list of machines, or the outcome of an order.
@@ -270,10 +275,7 @@
 			m.listedAt = now
 			return
 		}
-		listed := make(map[string]bool, len(e.list))
-		for _, machine := range e.list {
-			listed[machine.Executor] = true
-		}
+		m.surveys.add(newSurvey(e.list, e.pages, e.sentAt))
 		m.setList(e.list, e.sentAt)
 		l.locateExecutors(e.list)
 		for i := range m.list {
@@ -283,7 +285,7 @@
 			}
 			l.verifyOrder(now, e.sentAt, m.list[i])
 		}
-		l.endUnlistedExecutors(now, e.sentAt, listed)
+		l.endUnlistedExecutors(now)
 		return
 	}
 	delete(m.pendingOrders, e.action.Machine)
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -113,29 +113,39 @@
 // include the executor if it still runs.
 const listMargin = 500 * time.Millisecond
 
-// endUnlistedExecutors ends executors that do not respond and that no listed machine runs. An executor that is only
-// unreachable stays listed; the tasks of the others can start elsewhere before their leases expire. listed holds the executors that
-// the list names, also those of machines for which the owner expects another one.
-func (l *leadership) endUnlistedExecutors(now, sentAt time.Duration, listed map[string]bool) {
-	for _, id := range l.machines.unverified {
-		listed[id] = true
+// endUnlistedExecutors ends executors that do not respond and have ended by the lists. An executor that is only unreachable stays
+// listed; the tasks of the others can start elsewhere before their leases expire. Executors of machines with an unverified order are
+// left to verifyOrder.
+func (l *leadership) endUnlistedExecutors(now time.Duration) {
+	m := &l.machines
+	unverified := make(map[string]bool, len(m.unverified))
+	for _, id := range m.unverified {
+		unverified[id] = true
 	}
-	for id := range l.executorRecords {
+	m.unconfirmed = false
+	for id, record := range l.executorRecords {
 		since, lost := l.core.NoContactSince(id)
-		if lost && !listed[id] && sentAt > since+listMargin {
-			l.endExecutor(now, id, l.absenceEvidence(id, sentAt))
+		if !lost || unverified[id] {
+			continue
+		}
+		x, ok := m.seen[id]
+		if !ok {
+			x = sighting{executor: id, pool: record.Service}
+		}
+		switch m.surveys.presenceOf(x, since) {
+		case ended:
+			l.endExecutor(now, id, m.absenceEvidence(x))
+		case unconfirmed:
+			m.unconfirmed = true
 		}
 	}
 }
 
-// absenceEvidence describes the list requested at sentAt, which does not name an executor.
-func (l *leadership) absenceEvidence(id string, sentAt time.Duration) endEvidence {
-	m := &l.machines
-	e := endEvidence{reason: "not listed", machine: m.machineOf[id], listedAt: sentAt}
-	if i, ok := m.index[e.machine]; ok {
-		e.listed, e.state = true, m.list[i].State
-	}
-	return e
+// absenceEvidence describes the last list, which shows that an executor has ended.
+func (m *machineState) absenceEvidence(x sighting) endEvidence {
+	last := m.surveys.last
+	entry, listed := last.machines[x.machine]
+	return endEvidence{reason: "not listed", machine: x.machine, listed: listed, state: entry.state, listedAt: last.requestedAt}
 }
 
 // endEvidence says from what the owner concludes that an executor has ended.
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -68,16 +70,51 @@
 	store *rows.Store
 	// refuse makes the service reject all orders with ErrNotDone.
 	refuse atomic.Bool
+	// pageSize bounds the machines of a page; 0 lists all in one page. betweenPages is called between the reads of two pages.
+	pageSize     int
+	betweenPages func()
 }
 
-func (m *testMachines) List(context.Context) ([]workload.Machine, error) {
+// List reads pages as the platform serves them: by the offset into the machines of that moment, ordered by ID.
+func (m *testMachines) List(context.Context) (list []workload.Machine, pages int, err error) {
+	for {
+		page, more, between := m.page(len(list))
+		list = append(list, page...)
+		pages++
+		if !more {
+			return list, pages, nil
+		}
+		between()
+	}
+}
+
+// page returns the machines from an offset on, whether there are more, and what happens before the next page is read.
+func (m *testMachines) page(offset int) (page []workload.Machine, more bool, between func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []workload.Machine
-	for _, x := range m.machines {
-		list = append(list, x)
+	all := slices.SortedFunc(maps.Values(m.machines), func(a, b workload.Machine) int { return strings.Compare(a.ID, b.ID) })
+	all = all[min(offset, len(all)):]
+	if m.pageSize == 0 || len(all) <= m.pageSize {
+		return all, false, nil
 	}
-	return list, nil
+	return all[:m.pageSize], true, m.betweenPages
+}
+
+// paginate bounds the machines of a page, and sets what happens between the reads of two pages.
+func (m *testMachines) paginate(size int, between func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pageSize, m.betweenPages = size, between
+}
+
+// remove takes a machine out of service for good; its executor ends.
+func (m *testMachines) remove(machine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x := m.machines[machine]
+	delete(m.machines, machine)
+	m.fleet.Crash(x.Executor)
+	m.store.Delete(rowstore.Key{Table: "executors", Name: x.Executor})
 }
 
 func (m *testMachines) Move(context.Context, pools.Order) error { return pools.ErrRejected }
