Wait for a list that shows the effect of a confirmed order

Cause: the service also confirms an operation that it carried out before, and the executor then lives. verifyOrder ended it unless the next list named it on its machine. A machine that is up and listed without the ID of its executor for a moment ended an executor that lives.

Ruled out by the random test and by reading: a list requested before the confirmation (it is not used to verify); an executor that changed between the plan and the confirmation (the one of the last list before the confirmation is verified, and a later list that names another one shows that it ended); a confirmation for a former owner; repeated attempts carried out late; a machine missing from a page.

Change: verifyOrder ends the executor if the entry excludes it by the same rule as the lists, and waits for a later list if it shows neither. Executors with an unverified order are no longer kept out of endUnlistedExecutors: what the lists show of an executor holds whatever was ordered, and one whose machine was gone after its order waited for its leases. An ended executor has no unverified order. An executor whose pool is unknown is not taken to have left it.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -37,7 +37,7 @@
 		return e.executor != x.executor
 	case workload.MachineUp:
 		if e.executor == "" {
-			return e.pool != "" && e.pool != x.pool
+			return e.pool != "" && x.pool != "" && e.pool != x.pool
 		}
 		return e.executor != x.executor
 	}
--- a/coordinator/absence_test.go
+++ b/coordinator/absence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/pools"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -204,3 +206,224 @@
 	}
 	assert.Assert(t, lacking > lists/100 && complete > lists/100, "%d lists lacked a machine, %d of several pages were complete", lacking, complete)
 }
+
+// Guards against an executor that lives and is ended after a confirmation for an operation that had been carried out before, because
+// the next list shows its machine up without an ID for a moment.
+func TestConfirmedOrderWaitsForTheExecutorOfItsMachine(t *testing.T) {
+	now := 10 * time.Second
+	l := newTestLeadership(t.Context(), func() time.Duration { return now })
+	list := func(id string) {
+		now += time.Second
+		machine := workload.Machine{ID: "m", Pool: "b", State: workload.MachineUp, Executor: id}
+		l.handleMachineEvent(now, machineEvent{isList: true, pages: 1, list: []workload.Machine{machine}, sentAt: now})
+	}
+	l.core.PutExecutor(now, workload.Executor{ID: "x", Service: "b"})
+	l.executorRecords["x"] = executorRecord{Address: "a", Service: "b"}
+	list("x")
+	l.handleMachineEvent(now, machineEvent{action: pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "b"}})
+	list("")
+	_, known := l.executorRecords["x"]
+	assert.Assert(t, known, "the machine may still run it")
+	list("x")
+	_, known = l.executorRecords["x"]
+	assert.Assert(t, known, "the list names it")
+	l.handleMachineEvent(now, machineEvent{action: pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "b"}})
+	list("")
+	list("y")
+	_, known = l.executorRecords["x"]
+	assert.Assert(t, !known, "another executor runs on its machine")
+}
+
+// Guards against tasks that wait for the leases on an executor whose machine is gone, because its last order was never verified.
+func TestExecutorsOfOrderedMachinesThatAreGoneEnd(t *testing.T) {
+	now := 10 * time.Second
+	l := newTestLeadership(t.Context(), func() time.Duration { return now })
+	l.core.PutExecutor(now, workload.Executor{ID: "x", Service: "b"})
+	l.executorRecords["x"] = executorRecord{Address: "a", Service: "b"}
+	machine := workload.Machine{ID: "m", Pool: "b", State: workload.MachineUp, Executor: "x"}
+	l.handleMachineEvent(now, machineEvent{isList: true, pages: 1, list: []workload.Machine{machine}, sentAt: now})
+	l.handleMachineEvent(now, machineEvent{action: pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "c"}})
+	now += time.Second
+	l.handleMachineEvent(now, machineEvent{isList: true, pages: 1, sentAt: now})
+	assert.Equal(t, len(l.executorRecords), 0)
+	assert.Equal(t, len(l.machines.unverified), 0)
+}
+
+// Guards against an executor that lives and is ended, whatever the order of lists read in pages, entries without an ID, orders whose
+// confirmation comes late or for an operation that was carried out before, machines that come and go, and lost contact.
+func TestNoOrderOfMachineEventsEndsALivingExecutor(t *testing.T) {
+	ends := 0
+	for seed := range uint64(300) {
+		p := &machineTrial{rng: rand.New(rand.NewPCG(seed, 3)), machines: make(map[string]workload.Machine), living: make(map[string]bool)}
+		p.l = newTestLeadership(t.Context(), func() time.Duration { return p.now })
+		p.now = 10 * time.Second
+		for range 9 {
+			p.addMachine()
+		}
+		for range 500 {
+			p.now += time.Duration(p.rng.IntN(100)) * time.Millisecond
+			p.step()
+			known := slices.Collect(maps.Keys(p.l.executorRecords))
+			p.deliver()
+			for _, id := range known {
+				if _, ok := p.l.executorRecords[id]; !ok {
+					ends++
+					assert.Assert(t, !p.living[id], "seed %d: %s ended at %s while it lived", seed, id, p.now)
+				}
+			}
+		}
+	}
+	assert.Assert(t, ends > 1000, "%d executors ended", ends)
+}
+
+// machineTrial is a machine service, and what it has sent to an owner that has not received it yet.
+type machineTrial struct {
+	rng      *rand.Rand
+	l        *leadership
+	now      time.Duration
+	machines map[string]workload.Machine
+	// living holds the executors that run.
+	living map[string]bool
+	next   int
+	due    []dueEvent
+	// reading is the list that is being read, if there is one.
+	reading *machineEvent
+}
+
+// dueEvent is something that happens at a time.
+type dueEvent struct {
+	at time.Duration
+	do func()
+}
+
+// after makes something happen within limit.
+func (p *machineTrial) after(least, most time.Duration, do func()) {
+	p.due = append(p.due, dueEvent{p.now + least + time.Duration(p.rng.Int64N(int64(most-least))), do})
+}
+
+// deliver makes happen what is due, in order of time.
+func (p *machineTrial) deliver() {
+	for {
+		slices.SortStableFunc(p.due, func(a, b dueEvent) int { return int(a.at - b.at) })
+		if len(p.due) == 0 || p.due[0].at > p.now {
+			return
+		}
+		do := p.due[0].do
+		p.due = p.due[1:]
+		do()
+	}
+}
+
+func (p *machineTrial) addMachine() {
+	p.next++
+	id := fmt.Sprintf("m%02d-%d", p.rng.IntN(100), p.next)
+	p.machines[id] = workload.Machine{ID: id, Pool: "a", State: workload.MachineUp}
+	p.startExecutor(id)
+}
+
+// startExecutor starts an executor on a machine, and registers it with the owner.
+func (p *machineTrial) startExecutor(machine string) {
+	p.next++
+	id := fmt.Sprintf("x%d", p.next)
+	m := p.machines[machine]
+	m.State, m.Executor = workload.MachineUp, id
+	p.machines[machine], p.living[id] = m, true
+	p.after(0, 300*time.Millisecond, func() {
+		p.l.core.PutExecutor(p.now, workload.Executor{ID: id, Service: m.Pool})
+		p.l.executorRecords[id] = executorRecord{Address: id, Service: m.Pool}
+	})
+}
+
+// carryOut moves a machine to another pool, where it starts an executor within 1.5 s.
+func (p *machineTrial) carryOut(machine, pool string) {
+	m, ok := p.machines[machine]
+	if !ok || m.State != workload.MachineUp {
+		return
+	}
+	delete(p.living, m.Executor)
+	m.State, m.Pool, m.Executor = workload.MachineMoving, pool, ""
+	p.machines[machine] = m
+	p.after(300*time.Millisecond, 1500*time.Millisecond, func() {
+		if _, ok := p.machines[machine]; ok {
+			p.startExecutor(machine)
+		}
+	})
+}
+
+// order moves a machine; up to three attempts are carried out, each late, and the confirmation is later still. Sometimes it is one
+// for an operation that was carried out for a former owner.
+func (p *machineTrial) order(machine string) {
+	pool := []string{"a", "b"}[p.rng.IntN(2)]
+	l := p.l
+	if _, ok := l.machines.pendingOrders[machine]; ok || machine == "" {
+		return
+	}
+	action := pools.Action{Kind: pools.ActionMove, Machine: machine, Pool: pool}
+	l.machines.pendingOrders[machine] = action
+	confirm := func() { l.handleMachineEvent(p.now, machineEvent{action: action}) }
+	if p.rng.IntN(3) == 0 {
+		p.after(0, 2*time.Second, confirm)
+		return
+	}
+	p.after(0, 500*time.Millisecond, func() {
+		p.carryOut(machine, pool)
+		p.after(0, 4*time.Second, confirm)
+	})
+}
+
+// readPage reads the next page of a list. The list reaches the owner after the last one.
+func (p *machineTrial) readPage() {
+	const pageSize = 4
+	e := p.reading
+	all := slices.SortedFunc(maps.Values(p.machines), func(a, b workload.Machine) int { return strings.Compare(a.ID, b.ID) })
+	from := min(len(e.list), len(all))
+	to := min(from+pageSize, len(all))
+	for _, m := range all[from:to] {
+		if p.rng.IntN(20) == 0 {
+			m.Executor = ""
+		}
+		e.list = append(e.list, m)
+	}
+	e.pages++
+	if to < len(all) {
+		p.after(time.Millisecond, 100*time.Millisecond, p.readPage)
+		return
+	}
+	p.after(time.Millisecond, 300*time.Millisecond, func() {
+		p.reading = nil
+		p.l.handleMachineEvent(p.now, *e)
+	})
+}
+
+// step makes something happen at random.
+func (p *machineTrial) step() {
+	ids := slices.Sorted(maps.Keys(p.machines))
+	machine := ""
+	if len(ids) > 0 {
+		machine = ids[p.rng.IntN(len(ids))]
+	}
+	executor := p.machines[machine].Executor
+	_, known := p.l.executorRecords[executor]
+	switch p.rng.IntN(12) {
+	case 0:
+		p.order(machine)
+	case 1:
+		p.addMachine()
+	case 2, 3:
+		if len(ids) > 5 {
+			delete(p.machines, machine)
+			delete(p.living, executor)
+		}
+	case 4, 5:
+		p.l.core.LoseContact(p.now, executor, false)
+	case 6:
+		if known {
+			p.l.core.Report(p.now, executor, workload.Report{BornUnixMS: 1}, p.now, 0)
+		}
+	default:
+		if p.reading == nil {
+			p.reading = &machineEvent{isList: true, sentAt: p.now}
+			p.readPage()
+		}
+	}
+}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -95,18 +95,28 @@
 }
 
 // verifyOrder checks on a listed machine whether its confirmed order ended the executor. The service also confirms an order
-// that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned.
+// that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that shows neither is
+// left to a later list.
 func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
-	id, ok := l.machines.unverified[machine.ID]
+	m := &l.machines
+	id, ok := m.unverified[machine.ID]
 	if !ok {
 		return
 	}
-	delete(l.machines.unverified, machine.ID)
-	if machine.State == workload.MachineUp && machine.Executor == id {
+	x := m.seen[id]
+	x.executor, x.machine = id, machine.ID
+	up, named := machine.State == workload.MachineUp, machine.Executor == id
+	switch {
+	case up && named:
 		l.core.Cordon(now, id, false)
+	case named, machineEntry{machine.State, machine.Pool, machine.Executor}.excludes(x):
+		l.endExecutor(now, id, endEvidence{
+			reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt,
+		})
+	default:
 		return
 	}
-	l.endExecutor(now, id, endEvidence{reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt})
+	delete(m.unverified, machine.ID)
 }
 
 // listMargin is how long after an executor's registration or last contact a list must have been requested to be certain to
@@ -114,18 +124,13 @@
 const listMargin = 500 * time.Millisecond
 
 // endUnlistedExecutors ends executors that do not respond and have ended by the lists. An executor that is only unreachable stays
-// listed; the tasks of the others can start elsewhere before their leases expire. Executors of machines with an unverified order are
-// left to verifyOrder.
+// listed; the tasks of the others can start elsewhere before their leases expire.
 func (l *leadership) endUnlistedExecutors(now time.Duration) {
 	m := &l.machines
-	unverified := make(map[string]bool, len(m.unverified))
-	for _, id := range m.unverified {
-		unverified[id] = true
-	}
 	m.unconfirmed = false
 	for id, record := range l.executorRecords {
 		since, lost := l.core.NoContactSince(id)
-		if !lost || unverified[id] {
+		if !lost {
 			continue
 		}
 		x, ok := m.seen[id]
@@ -172,6 +177,7 @@
 		"executor": id, "reason": because.reason, "machine": because.machine, "machine_listed": because.listed, "state": string(because.state),
 		"silent_ms": silent.Milliseconds(), "list_age_ms": (now - because.listedAt).Milliseconds(),
 	}).Info("executor concluded to have ended")
+	maps.DeleteFunc(l.machines.unverified, func(_, executor string) bool { return executor == id })
 	l.machines.endedIncarnations[id] = l.core.Incarnation(id)
 	l.core.EndExecutor(now, id)
 	l.dropExecutor(id)
