--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -6,6 +6,7 @@
 	"maps"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
 	"github.com/tamarackworks/tamarackworks/elapsed"
@@ -94,44 +95,89 @@
 }
 
 // verifyOrder checks on a listed machine whether its confirmed order ended the executor. The service also confirms an order
-// that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned.
-func (l *leadership) verifyOrder(now time.Duration, machine workload.Machine) {
-	id, ok := l.machines.unverified[machine.ID]
+// that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that shows neither is
+// left to a later list.
+func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
+	m := &l.machines
+	id, ok := m.unverified[machine.ID]
 	if !ok {
 		return
 	}
-	delete(l.machines.unverified, machine.ID)
-	if machine.State == workload.MachineUp && machine.Executor == id {
+	x := m.seen[id]
+	x.executor, x.machine = id, machine.ID
+	up, named := machine.State == workload.MachineUp, machine.Executor == id
+	switch {
+	case up && named:
 		l.core.Cordon(now, id, false)
+	case named, machineEntry{machine.State, machine.Pool, machine.Executor}.excludes(x):
+		l.endExecutor(now, id, endEvidence{
+			reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt,
+		})
+	default:
 		return
 	}
-	l.endExecutor(now, id)
+	delete(m.unverified, machine.ID)
 }
 
 // listMargin is how long after an executor's registration or last contact a list must have been requested to be certain to
 // include the executor if it still runs.
 const listMargin = 500 * time.Millisecond
 
-// endUnlistedExecutors ends executors that do not respond and that no listed machine runs. An executor that is only
-// unreachable stays listed; the tasks of the others can start elsewhere before their leases expire. listed holds the executors that
-// the list names, also those of machines for which the owner expects another one.
-func (l *leadership) endUnlistedExecutors(now, sentAt time.Duration, listed map[string]bool) {
-	for _, id := range l.machines.unverified {
-		listed[id] = true
-	}
-	for id := range l.executorRecords {
+// endUnlistedExecutors ends executors that do not respond and have ended by the lists. An executor that is only unreachable stays
+// listed; the tasks of the others can start elsewhere before their leases expire.
+func (l *leadership) endUnlistedExecutors(now time.Duration) {
+	m := &l.machines
+	m.unconfirmed = false
+	for id, record := range l.executorRecords {
 		since, lost := l.core.NoContactSince(id)
-		if lost && !listed[id] && sentAt > since+listMargin {
-			l.endExecutor(now, id)
+		if !lost {
+			continue
+		}
+		x, ok := m.seen[id]
+		if !ok {
+			x = sighting{executor: id, pool: record.Service}
+		}
+		switch m.surveys.presenceOf(x, since) {
+		case ended:
+			l.endExecutor(now, id, m.absenceEvidence(x))
+		case unconfirmed:
+			m.unconfirmed = true
 		}
 	}
 }
 
+// absenceEvidence describes the last list, which shows that an executor has ended.
+func (m *machineState) absenceEvidence(x sighting) endEvidence {
+	last := m.surveys.last
+	entry, listed := last.machines[x.machine]
+	return endEvidence{reason: "not listed", machine: x.machine, listed: listed, state: entry.state, listedAt: last.requestedAt}
+}
+
+// endEvidence says from what the owner concludes that an executor has ended.
+type endEvidence struct {
+	reason string
+	// machine is where the executor was last seen, empty if unknown; listed and state are what the list shows of it.
+	machine string
+	listed  bool
+	state   workload.MachineState
+	// listedAt is when the list was requested.
+	listedAt time.Duration
+}
+
 // endExecutor records that an executor and all its tasks have certainly ended. An empty ID is ignored.
-func (l *leadership) endExecutor(now time.Duration, id string) {
+func (l *leadership) endExecutor(now time.Duration, id string, because endEvidence) {
 	if id == "" {
 		return
 	}
+	silent := time.Duration(0)
+	if since, lost := l.core.NoContactSince(id); lost {
+		silent = now - since
+	}
+	l.log.WithFields(log.Fields{
+		"executor": id, "reason": because.reason, "machine": because.machine, "machine_listed": because.listed, "state": string(because.state),
+		"silent_ms": silent.Milliseconds(), "list_age_ms": (now - because.listedAt).Milliseconds(),
+	}).Info("executor concluded to have ended")
+	maps.DeleteFunc(l.machines.unverified, func(_, executor string) bool { return executor == id })
 	l.machines.endedIncarnations[id] = l.core.Incarnation(id)
 	l.core.EndExecutor(now, id)
 	l.dropExecutor(id)
