Take the clock of an executor from its reports only

Tasks on a silent executor would wait for as long as the clocks of two of its incarnations differ.

Cause: a session also took the executor's clock from responses to orders. A response of the former incarnation that is processed after the restart was noticed therefore set the clock of the new one, and one of a new incarnation that of the old one. Deadlines and the time at which leases expire are then wrong by the difference.

Ruled out: that leases count as expired too early for it. After a noticed restart they last for MaxLease, longer than the wrong clock stands; an unnoticed incarnation whose clock is ahead of the deadline takes no start.

Before: TestResponsesToOrdersDoNotSetTheClockOfAnotherIncarnation failed with "the leases never expired" (40 s).

Change: only reports, which name the incarnation, set the clock. In contact one comes within two seconds, in which a clock that is 2 % slow differs by 40 ms. The stand-in for executors can use a clock for each incarnation and leave born out of such responses.

--- a/session/orders.go
+++ b/session/orders.go
@@ -203,11 +203,7 @@
 func (s *Session) attempt(tries int, call func(context.Context) (Response, error)) (Response, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.lagAdjusted(min(firstOrderTimeout<<min(tries-1, 4), maxOrderTimeout)))
 	defer cancel()
-	resp, err := call(ctx)
-	if err == nil {
-		s.updateClock(resp.ClockMS, resp.BornUnixMS)
-	}
-	return resp, err
+	return call(ctx)
 }
 
 // LeasesExpireAt returns when all leases on the executor will have expired if nothing extends them.
--- a/session/session.go
+++ b/session/session.go
@@ -99,7 +99,8 @@
 	awaitingLate  atomic.Bool
 
 	mu sync.Mutex
-	// clockMS is what the executor's clock showed at clockAt, in milliseconds.
+	// clockMS is what the executor's clock showed in its last report, which arrived at clockAt, in milliseconds. Responses to orders do
+	// not set it, because they do not name the incarnation.
 	clockMS int64
 	clockAt time.Duration
 	// maxDeadlineMS is the latest deadline sent to the current incarnation, on its clock.
@@ -211,17 +212,3 @@
 	s.maxDeadlineMS = max(s.maxDeadlineMS, d)
 	return d
 }
-
-// updateClock records the executor's clock from a response to an order.
-func (s *Session) updateClock(clockMS, incarnation int64) {
-	if clockMS == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if incarnation != 0 && s.incarnation != 0 && incarnation != s.incarnation {
-		// The clock belongs to another incarnation; the hold loop handles the restart.
-		return
-	}
-	s.clockMS, s.clockAt = clockMS, s.opts.Now()
-}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -519,3 +519,39 @@
 		assert.Equal(t, len(h.lateEnds()), 0)
 	})
 }
+
+// Guards against tasks that wait for hours on a silent executor: the response of the former incarnation to an order, which does not name the
+// incarnation, is taken for the clock of the current one.
+func TestResponsesToOrdersDoNotSetTheClockOfAnotherIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.UseOwnClocks(maxLease)
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Hour, workload.EndDone })
+		time.Sleep(time.Minute)
+		h.lag.Store(int64(time.Second))
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			if order == "pace" {
+				return workers.SlowResponse
+			}
+			return workers.None
+		})
+		h.session.Pace(order(1).Task, 1, 50)
+		time.Sleep(10 * time.Millisecond)
+		h.fleet.SetFirstClock(time.Hour)
+		h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+		time.Sleep(workers.LateBy - 50*time.Millisecond)
+		h.lag.Store(0)
+		h.session.Start(order(1))
+		time.Sleep(20 * time.Millisecond)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		h.fleet.SetUnreachable("x", true)
+		for range 2000 {
+			time.Sleep(20 * time.Millisecond)
+			if h.count(session.LeasesExpired{}) > 0 {
+				break
+			}
+		}
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0, "the leases never expired")
+		assert.Equal(t, len(h.fleet.Running()), 0)
+	})
+}
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -39,6 +39,10 @@
 	slowExecutors map[string]time.Duration
 	// deliverAfterRestart is set if delayed orders reach the next incarnation of an executor.
 	deliverAfterRestart bool
+	// maxLease is the longest lease that an executor grants if it has its own clock; see UseOwnClocks.
+	maxLease time.Duration
+	// firstClockMS is what the clocks of executors that start from now on show at first.
+	firstClockMS int64
 	// running holds the executor of each running task.
 	running map[workload.TaskID]string
 	// acknowledgedDone holds the tasks whose completion was acknowledged; they must not start again.
@@ -78,9 +82,12 @@
 	id         string
 	capacity   workload.Resources
 	bornUnixMS int64
+	startedAt  time.Time
+	// firstClockMS is what its own clock showed at its start.
+	firstClockMS int64
 	// fence is the highest fencing token seen.
 	fence uint64
-	// leaseDeadlineMS is when the lease expires, on the clock of clockMS.
+	// leaseDeadlineMS is when the lease expires, on the clock of executorClockMS.
 	leaseDeadlineMS int64
 	crashed         bool
 	unreachable     bool
@@ -147,6 +154,21 @@
 	f.deliverAfterRestart = true
 }
 
+// UseOwnClocks makes each incarnation of an executor use a clock that starts with it and shorten longer leases to maxLease, and
+// makes responses to orders not name the incarnation.
+func (f *Fleet) UseOwnClocks(maxLease time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxLease = maxLease
+}
+
+// SetFirstClock sets what the own clocks of executors that start from now on show at first.
+func (f *Fleet) SetFirstClock(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstClockMS = d.Milliseconds()
+}
+
 // SetFault sets the function that returns the fault of each order. The orders are start, stop, pace and hold.
 func (f *Fleet) SetFault(fault func(executor, order string) Fault) {
 	f.mu.Lock()
@@ -163,7 +185,7 @@
 	}
 	f.record("%s starts", id)
 	f.executors[id] = &executor{
-		id: id, capacity: capacity, bornUnixMS: time.Now().UnixMilli(), nextEndNumber: 1,
+		id: id, capacity: capacity, bornUnixMS: time.Now().UnixMilli(), startedAt: time.Now(), firstClockMS: f.firstClockMS, nextEndNumber: 1,
 		runs: make(map[workload.TaskID]*run), highestRun: make(map[workload.TaskID]int), changed: make(chan struct{}),
 	}
 }
@@ -232,9 +254,27 @@
 	return running
 }
 
-// clockMS returns the time of the steady clock that all executors share, in milliseconds. It starts at 1.
+// clockMS returns the time of the steady clock of the fleet, in milliseconds. It starts at 1.
 func (f *Fleet) clockMS() int64 { return time.Since(f.startedAt).Milliseconds() + 1 }
 
+// executorClockMS returns the time of the clock of an executor, in milliseconds. It is that of the fleet unless executors have
+// their own clocks.
+func (f *Fleet) executorClockMS(e *executor) int64 {
+	if f.maxLease == 0 {
+		return f.clockMS()
+	}
+	return e.firstClockMS + time.Since(e.startedAt).Milliseconds() + 1
+}
+
+// response returns the response of an executor to an order.
+func (f *Fleet) response(e *executor, result session.Result) session.Response {
+	r := session.Response{Result: result, ClockMS: f.executorClockMS(e), BornUnixMS: e.bornUnixMS}
+	if f.maxLease != 0 {
+		r.BornUnixMS = 0
+	}
+	return r
+}
+
 // clearRunning notes that a task no longer runs on the executor, unless another executor has started it since.
 func (f *Fleet) clearRunning(task workload.TaskID, id string) {
 	if f.running[task] == id {
@@ -266,9 +306,9 @@
 		// An order names its executor by id only, so a delayed one may reach the next incarnation.
 		e := f.executors[to.ID]
 		if e.crashed || (e != addressed && !f.deliverAfterRestart) {
-			return session.Response{Result: session.OtherIncarnation, ClockMS: f.clockMS()}
+			return session.Response{Result: session.OtherIncarnation, ClockMS: f.executorClockMS(e)}
 		}
-		return session.Response{Result: execute(e), ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}
+		return f.response(e, execute(e))
 	}
 	switch fault {
 	case DropOrder:
@@ -279,7 +319,7 @@
 		<-ctx.Done()
 		return session.Response{}, session.ErrNoResponse
 	case Refuse:
-		return session.Response{Result: session.Unhealthy, ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}, nil
+		return f.response(e, session.Unhealthy), nil
 	case SlowResponse:
 		resp := carryOut()
 		select {
@@ -317,7 +357,7 @@
 		if e.staleFence(o.Fence) {
 			return session.Fenced
 		}
-		if o.DeadlineMS <= f.clockMS() {
+		if o.DeadlineMS <= f.executorClockMS(e) {
 			return session.TooLate
 		}
 		f.extendLease(e, o.DeadlineMS)
@@ -384,6 +424,9 @@
 
 // extendLease extends the lease of an executor; it never shortens it. When the lease expires, all runs end with it.
 func (f *Fleet) extendLease(e *executor, deadline int64) {
+	if f.maxLease != 0 {
+		deadline = min(deadline, f.executorClockMS(e)+f.maxLease.Milliseconds())
+	}
 	if deadline <= e.leaseDeadlineMS {
 		return
 	}
@@ -391,7 +434,7 @@
 	if e.leaseTimer != nil {
 		e.leaseTimer.Stop()
 	}
-	e.leaseTimer = time.AfterFunc(time.Duration(deadline-f.clockMS())*time.Millisecond, func() {
+	e.leaseTimer = time.AfterFunc(time.Duration(deadline-f.executorClockMS(e))*time.Millisecond, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.leaseExpiries++
@@ -485,7 +528,7 @@
 		return workload.Report{}, "", session.ErrNoResponse
 	}
 	defer f.mu.Unlock()
-	r := workload.Report{ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS, Ended: append([]workload.EndedTask(nil), e.endedTasks...)}
+	r := workload.Report{ClockMS: f.executorClockMS(e), BornUnixMS: e.bornUnixMS, Ended: append([]workload.EndedTask(nil), e.endedTasks...)}
 	for task, x := range e.runs {
 		r.Running = append(r.Running, workload.RunningTask{Task: task, Run: x.number, Percent: f.percent(task, x)})
 	}
