Count the leases of an incarnation that the session has not noticed

Callers would see: a task runs twice.

Cause: an executor that has started again under its id accepts a start with a deadline on the clock of its former incarnation, if its own clock is behind, and shortens the lease to the longest that it grants (10 s on the site of the incident). If the executor then falls silent before a report shows the restart, the session counts its leases by the order's deadline: expired after the lease of an owner (5 s).

Change: the session compares the clock in a response to an order with the range that the last report before the order allows; a response outside it comes from another incarnation, as those to orders carry no born. Until a report tells more, leases then last for MaxLease after the latest time at which an unanswered order may be carried out (maxOrderDelay).

Left: a new incarnation whose clock happens to lie in that range, of some seconds.

--- a/session/hold.go
+++ b/session/hold.go
@@ -81,7 +81,7 @@
 	}
 	switch {
 	case r.err != nil:
-		return s.handleUnanswered(r.err)
+		return s.handleUnanswered(r.err, order.DeadlineMS != 0)
 	case r.result == Fenced:
 		s.opts.Emit(Superseded{Executor: s.endpoint.ID})
 		return false
@@ -110,9 +110,12 @@
 }
 
 // handleUnanswered handles a hold without a response and reports whether to send the next one at once. Contact is lost only
-// after two unanswered holds in a row, because a single response may get lost.
-func (s *Session) handleUnanswered(err error) bool {
+// after two unanswered holds in a row, because a single response may get lost. extends is set if the hold had a deadline.
+func (s *Session) handleUnanswered(err error, extends bool) bool {
 	s.mu.Lock()
+	if extends {
+		s.unconfirmedAt = s.opts.Now()
+	}
 	retry := s.inContact && !s.unanswered
 	s.unanswered = retry
 	s.mu.Unlock()
@@ -159,7 +162,7 @@
 		s.opts.Losses.record(s.endpoint.ID, now)
 	}
 	s.incarnation, s.inContact, s.unanswered = r.BornUnixMS, true, false
-	s.clockMS, s.clockAt = r.ClockMS, now
+	s.clockMS, s.clockAt, s.reportSentAt, s.unnoticedRestart = r.ClockMS, now, sent, false
 	r.Ended = s.takeNewEnds(r.Ended)
 	lastEnd := s.lastEnd
 	for _, x := range r.Running {
--- a/session/orders.go
+++ b/session/orders.go
@@ -203,7 +203,12 @@
 func (s *Session) attempt(tries int, call func(context.Context) (Response, error)) (Response, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.lagAdjusted(min(firstOrderTimeout<<min(tries-1, 4), maxOrderTimeout)))
 	defer cancel()
-	return call(ctx)
+	clock := s.clockRange()
+	resp, err := call(ctx)
+	if err == nil {
+		s.checkIncarnation(clock, resp)
+	}
+	return resp, err
 }
 
 // LeasesExpireAt returns when all leases on the executor will have expired if nothing extends them.
@@ -238,6 +243,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ambiguousStarts[key] = s.opts.Now()
+	s.unconfirmedAt = s.opts.Now()
 }
 
 // resolveStart ends the attempts to start a run; the caller holds the lock.
--- a/session/session.go
+++ b/session/session.go
@@ -103,6 +103,13 @@
 	// not set it, because they do not name the incarnation.
 	clockMS int64
 	clockAt time.Duration
+	// reportSentAt is when that report was requested.
+	reportSentAt time.Duration
+	// unnoticedRestart is set if a response to an order came from another incarnation than the last report.
+	unnoticedRestart bool
+	// unconfirmedAt is when an order with a deadline was last left unanswered, or answered by another incarnation than that of the
+	// last report. Such an order may extend the leases of an incarnation that the session does not know.
+	unconfirmedAt time.Duration
 	// maxDeadlineMS is the latest deadline sent to the current incarnation, on its clock.
 	maxDeadlineMS int64
 	// inheritedUntil is when leases that maxDeadlineMS does not cover have expired: those that earlier owners granted, and
@@ -189,11 +196,21 @@
 func (s *Session) leasesExpireAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.maxDeadlineMS == 0 {
-		return s.inheritedUntil
+	at := s.inheritedUntil
+	if s.maxDeadlineMS != 0 {
+		left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
+		at = max(at, s.clockAt+maxElapsed(left)+expiryMargin)
 	}
-	left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
-	return max(s.inheritedUntil, s.clockAt+maxElapsed(left)+expiryMargin)
+	if s.unnoticedRestart {
+		at = max(at, s.unnoticedLeasesExpireAt())
+	}
+	return at
+}
+
+// unnoticedLeasesExpireAt returns when all leases have certainly expired that an incarnation of the executor that the session does not
+// know may have granted. A deadline on the clock of the former incarnation is no limit there. The caller holds the lock.
+func (s *Session) unnoticedLeasesExpireAt() time.Duration {
+	return s.unconfirmedAt + maxOrderDelay + maxElapsed(s.opts.MaxLease) + expiryMargin
 }
 
 // leasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
@@ -212,3 +229,37 @@
 	s.maxDeadlineMS = max(s.maxDeadlineMS, d)
 	return d
 }
+
+// clockRange is the range in which the executor's clock lies when it carries out an order, if it is the incarnation of the last report.
+// Responses to orders do not name the incarnation.
+type clockRange struct {
+	incarnation int64
+	minMS       int64
+	// sentAt is when the clock can have shown minMS at the earliest.
+	sentAt time.Duration
+}
+
+// clockRange returns the range for an order that is sent now.
+func (s *Session) clockRange() clockRange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clockRange{s.incarnation, s.clockMS, s.reportSentAt}
+}
+
+// checkIncarnation records whether a response came from another incarnation than the one of the last report before the order.
+func (s *Session) checkIncarnation(r clockRange, resp Response) {
+	now := s.opts.Now()
+	maxMS := r.minMS + (now - r.sentAt + expiryMargin).Milliseconds()
+	named := resp.BornUnixMS != 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case resp.ClockMS == 0 || r.incarnation == 0 || r.incarnation != s.incarnation:
+		return
+	case named && resp.BornUnixMS == r.incarnation:
+		return
+	case !named && resp.ClockMS >= r.minMS && resp.ClockMS <= maxMS:
+		return
+	}
+	s.unnoticedRestart, s.unconfirmedAt = true, now
+}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -555,3 +555,38 @@
 		assert.Equal(t, len(h.fleet.Running()), 0)
 	})
 }
+
+// startReachesNextIncarnation drops all orders of the session, except that the first attempt of a start is carried out as fault says,
+// by an incarnation of which the session does not know.
+func (h *harness) startReachesNextIncarnation(fault workers.Fault) {
+	h.fleet.UseOwnClocks(maxLease)
+	h.fleet.DeliverOrdersAfterRestart()
+	h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Hour, workload.EndDone })
+	time.Sleep(5 * time.Minute)
+	first := true
+	h.fleet.SetFault(func(_, order string) workers.Fault {
+		if order == "start" && first {
+			first = false
+			return fault
+		}
+		return workers.DropOrder
+	})
+	h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+	h.session.Start(order(1))
+}
+
+// Guards against a task that runs twice: an executor that has restarted unnoticed accepts a start, and its new clock is behind the
+// deadline of the order.
+func TestLeasesOfAnUnnoticedIncarnationMayLastAsLongAsAny(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.startReachesNextIncarnation(workers.None)
+		began := time.Now()
+		for h.count(session.LeasesExpired{}) == 0 && time.Since(began) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0, "the leases never expired")
+		assert.Equal(t, len(h.fleet.Running()), 0, "expired after %s", time.Since(began))
+	})
+}
