Give up a start only when no incarnation can run it any more

Callers would see: a task runs twice.

Cause: a start without an answer was given up, and the task placed elsewhere, when the leases had expired on the clock of the incarnation that the session knows: some 6 s after the order. The attempts to retract a start ended after maxOrderDelay, which left out the lease of a run that had been started meanwhile; and they ended without a confirmed ownership too, although silence proves nothing to a former owner.

Ruled out: tasks that are stopped before their start has an outcome. Only those of jobs that have ended are (finish, completeTask); others are stopped while running.

Before: TestStartsAreNotGivenUpWhileANewIncarnationMayRunThem failed in both cases (carried out at once, 2.5 s late) with "1 (int) != 0 (int): given up after 6.1s"; TestStartsAreNotGivenUpWithoutOwnership with "1 (int) != 0 (int)" starts given up.

Change: a start with an unanswered attempt counts as over once the leases have expired and MaxLease and maxOrderDelay have passed since the last order with a deadline that was not answered (23.4 s for a MaxLease of 10 s). Attempts end when the order's lease has expired, because only an unknown incarnation could accept them.

Cost: a task whose start got no answer waits that long instead of some 6 s, if its executor stays silent all the while and the list of machines still shows it. Contact, or the end of the executor, settles it at once, as before.

--- a/session/orders.go
+++ b/session/orders.go
@@ -40,7 +40,8 @@
 	ambiguous := false
 	for tries := 1; ; tries++ {
 		resp, err := Response{}, errNotOwner
-		if s.authorised() {
+		// Once its deadline has passed, only an incarnation that the session does not know could accept the order.
+		if !(ambiguous && s.leasesExpired()) && s.authorised() {
 			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
 		}
 		switch {
@@ -78,14 +79,14 @@
 		if ambiguous && s.fencingToken() != o.Fence {
 			return s.cancelStart(o)
 		}
-		if s.ctx.Err() != nil || s.leasesExpired() {
+		if s.ctx.Err() != nil || s.ambiguousStartsOver() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetryPause)
 	}
 }
 
-// errNotOwner means that an attempt was not made, because another process may own the executors by now.
+// errNotOwner means that an attempt was not made, because another process may own the executors by now or the order has expired.
 var errNotOwner = errors.Wrap(ErrNotSent, "ownership is not confirmed")
 
 // isFinal reports whether all attempts of the same order that arrive after this result are refused too.
@@ -95,10 +96,9 @@
 
 // cancelStart ensures that a start with an unanswered attempt is not carried out later. It is called when the executor has
 // refused another attempt, or has become another incarnation, to whose clock the deadline of the order does not apply. It
-// stops the run, or waits until the order can no longer be carried out.
+// stops the run, or waits until the order can no longer be carried out and the run, if it was, has ended with its lease.
 func (s *Session) cancelStart(o StartOrder) Result {
-	limit := s.opts.Now() + maxOrderDelay
-	for s.ctx.Err() == nil && s.opts.Now() < limit {
+	for s.ctx.Err() == nil && !s.ambiguousStartsOver() {
 		if s.opts.Owns() {
 			fence := s.fencingToken()
 			resp, err := s.attempt(contactLossTries, func(ctx context.Context) (Response, error) {
@@ -113,6 +113,14 @@
 	return Expired
 }
 
+// ambiguousStartsOver reports whether no run goes on or begins any more, on any incarnation, whose start has an unanswered attempt.
+func (s *Session) ambiguousStartsOver() bool {
+	s.mu.Lock()
+	over := s.opts.Now() >= s.unnoticedLeasesExpireAt()
+	s.mu.Unlock()
+	return over && s.leasesExpired()
+}
+
 // fencingToken returns the fencing token for the current incarnation of the executor.
 func (s *Session) fencingToken() uint64 {
 	s.mu.Lock()
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -590,3 +590,50 @@
 		assert.Equal(t, len(h.fleet.Running()), 0, "expired after %s", time.Since(began))
 	})
 }
+
+// Guards against a task that runs twice: an executor that has restarted unnoticed carries out a start without an answer. Its new clock
+// is behind the deadline of the order, so that the run lasts as long as the longest lease.
+func TestStartsAreNotGivenUpWhileANewIncarnationMayRunThem(t *testing.T) {
+	for name, fault := range map[string]workers.Fault{"at once": workers.LoseResponse, "late": workers.Late} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.startReachesNextIncarnation(fault)
+				began := time.Now()
+				for len(h.started()) == 0 && time.Since(began) < time.Minute {
+					time.Sleep(50 * time.Millisecond)
+				}
+				assert.DeepEqual(t, h.started(), []session.Result{session.Expired})
+				assert.Equal(t, len(h.fleet.Running()), 0, "given up after %s", time.Since(began))
+			})
+		})
+	}
+}
+
+// Guards against a former owner that gives up a start that it could not retract, because it may not send stops without confirmed ownership.
+func TestStartsAreNotGivenUpWithoutOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.continues.Store(true)
+		n := 0
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			if order == "start" {
+				if n++; n == 1 {
+					return workers.LoseResponse
+				}
+				return workers.Refuse
+			}
+			if order == "hold" && n > 0 {
+				return workers.DropOrder
+			}
+			return workers.None
+		})
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		h.mu.Lock()
+		h.owns = false
+		h.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(h.started()), 0)
+	})
+}
