Check expired leases again when the event is handled

Callers would see: a task runs twice.

Cause: a session emits LeasesExpired after it has found all leases expired, and the control goroutine then took every confirmed run on the executor for gone. An owner that is seconds behind with its events still starts tasks on an executor that its session has lost contact with; such a start extends the leases. If it is confirmed before the event is handled, its run is requeued while it goes on. Events of one goroutine keep their order and tasks whose start is open are left out, so this takes a session that is not scheduled between the check and the event for as long as a start takes. An event of a closed session also counted for the one that replaced it.

Before: TestLeasesExpiredBeforeAStartDoNotEndItsRun failed with "0 (int) != 1 (int): the run goes on".

Change: the control goroutine asks the session again when it handles the event. A start sent until then has extended the deadline there; of one that is sent later, the task is still starting, which ExpireLeases leaves alone. The event repeats until the executor responds, so that nothing is lost if the answer is no. The unused Session.LeasesExpireAt is gone.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -202,7 +202,10 @@
 		l.core.LoseContact(now, e.Executor, e.Refused)
 		l.recordContactLost(now, e.Executor)
 	case session.LeasesExpired:
-		l.core.ExpireLeases(now, e.Executor)
+		// A start may have extended the leases since the event, or the session may be another one.
+		if s := l.sessions[e.Executor]; s != nil && s.LeasesExpired() {
+			l.core.ExpireLeases(now, e.Executor)
+		}
 	case inheritedLeasesExpired:
 		l.handleInheritedLeasesExpired(now, e.executor)
 	case session.Started:
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -15,7 +15,9 @@
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/ownership"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/session"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
+	"github.com/tamarackworks/tamarackworks/standin/workers"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -127,3 +129,59 @@
 		l.planMachines(now + time.Second)
 	}
 }
+
+// Guards against a task that runs twice: the owner handles the news that the leases on an executor have expired only after another start has
+// extended them, because it is behind with its events or the session was slow to emit this one.
+func TestLeasesExpiredBeforeAStartDoNotEndItsRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		began := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		fleet := workers.New()
+		fleet.Add("x", capacity)
+		fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Hour, workload.EndDone })
+		l := newTestLeadership(ctx, func() time.Duration { return time.Since(began) + time.Second })
+		l.opts.Executors, l.opts.MaxLease = fleet, 6*time.Second
+		handleAll := func() {
+			for len(l.events) > 0 {
+				assert.NilError(t, l.handle(<-l.events))
+			}
+		}
+		now := l.opts.Now()
+		l.core.Configure(now, &workload.Configuration{Version: 1, Services: []workload.Service{{Name: testService}}})
+		l.core.PutExecutor(now, workload.Executor{ID: "x", Service: testService, Capacity: capacity})
+		l.executorRecords["x"] = executorRecord{Address: "addr-x", Service: testService}
+		l.openSession("x", l.executorRecords["x"])
+		time.Sleep(100 * time.Millisecond)
+		handleAll()
+
+		// The events of the silence, until the leases have expired, wait in the queue.
+		fleet.SetUnreachable("x", true)
+		time.Sleep(10 * time.Second)
+		fleet.SetUnreachable("x", false)
+		var expired []session.LeasesExpired
+		for n := len(l.events); n > 0; n-- {
+			e := <-l.events
+			if x, ok := e.(session.LeasesExpired); ok {
+				expired = append(expired, x)
+				continue
+			}
+			l.events <- e
+		}
+		assert.Assert(t, len(expired) > 0)
+		job := &workload.Job{ID: "j", Service: testService, Steps: []workload.Step{plainStep(1)}}
+		assert.NilError(t, l.core.AddJob(l.opts.Now(), job, nil, 0, false))
+		l.schedule(l.opts.Now())
+		for _, command := range l.core.Commands() {
+			l.executeCommand(l.opts.Now(), command)
+		}
+		time.Sleep(50 * time.Millisecond)
+		handleAll()
+		assert.Equal(t, len(fleet.Running()["x"]), 1)
+		assert.Equal(t, len(l.core.TasksOn("x")), 1)
+
+		assert.NilError(t, l.handle(expired[0]))
+		assert.Equal(t, len(l.core.TasksOn("x")), 1, "the run goes on")
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/session/events.go
+++ b/session/events.go
@@ -44,7 +44,7 @@
 }
 
 // LeasesExpired means that all leases on an executor that does not respond have expired, also by its own clock. It is
-// repeated until the executor responds.
+// repeated until the executor responds. A start that is sent later extends the leases again; Session.LeasesExpired tells.
 type LeasesExpired struct {
 	Executor string
 	At       time.Duration
--- a/session/hold.go
+++ b/session/hold.go
@@ -23,7 +23,7 @@
 			s.awaitAcks()
 			continue
 		}
-		if s.leasesExpired() {
+		if s.LeasesExpired() {
 			s.opts.Emit(LeasesExpired{Executor: s.endpoint.ID, At: s.opts.Now()})
 		}
 		s.pauseBeforeRetry()
--- a/session/orders.go
+++ b/session/orders.go
@@ -41,7 +41,7 @@
 	for tries := 1; ; tries++ {
 		resp, err := Response{}, errNotOwner
 		// Once its deadline has passed, only an incarnation that the session does not know could accept the order.
-		if !(ambiguous && s.leasesExpired()) && s.authorised() {
+		if !(ambiguous && s.LeasesExpired()) && s.authorised() {
 			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
 		}
 		switch {
@@ -118,7 +118,7 @@
 	s.mu.Lock()
 	over := s.opts.Now() >= s.unnoticedLeasesExpireAt()
 	s.mu.Unlock()
-	return over && s.leasesExpired()
+	return over && s.LeasesExpired()
 }
 
 // fencingToken returns the fencing token for the current incarnation of the executor.
@@ -189,7 +189,7 @@
 				s.handleFailedAttempt(tries, err)
 			}
 		}
-		if s.ctx.Err() != nil || s.leasesExpired() {
+		if s.ctx.Err() != nil || s.LeasesExpired() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetryPause)
@@ -219,9 +219,6 @@
 	return resp, err
 }
 
-// LeasesExpireAt returns when all leases on the executor will have expired if nothing extends them.
-func (s *Session) LeasesExpireAt() time.Duration { return s.leasesExpireAt() }
-
 // runKey identifies one run of a task.
 type runKey struct {
 	task workload.TaskID
--- a/session/session.go
+++ b/session/session.go
@@ -213,9 +213,9 @@
 	return s.unconfirmedAt + maxOrderDelay + maxElapsed(s.opts.MaxLease) + expiryMargin
 }
 
-// leasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
+// LeasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
 // unknown: a new owner may have extended them, and may have seen the runs end.
-func (s *Session) leasesExpired() bool { return s.opts.Owns() && s.opts.Now() >= s.leasesExpireAt() }
+func (s *Session) LeasesExpired() bool { return s.opts.Owns() && s.opts.Now() >= s.leasesExpireAt() }
 
 // nextDeadline returns the deadline to send, in milliseconds on the executor's clock, or 0 while that clock is unknown.
 func (s *Session) nextDeadline() int64 {
