Continue without ownership only where the stored record shows contact

Callers would see: tasks run twice after a takeover.

Cause: a new owner waits 6.8 s for the leases on an executor that it cannot reach if the stored record says that the former owner had lost contact (13 s otherwise), because regaining contact needs a confirmed ownership. But the former owner may regain contact with a confirmed ownership, lose the store before it has stored that, and then go on extending the leases without one, for 8 s after its last renewal.

Before: TestFormerOwnersContinueOnlyWhereTheirRecordsSaySo failed with "job.0.0.1 runs on x0 and x1", "job.0.0.0 runs on x0 and x1": the former owner extended the leases until 31.6 s, the new one started the tasks elsewhere at 31.1 s, the first runs lapsed at 35.1 s.

Ruled out: waiting for 13 s in all cases. That holds back the tasks of every executor that was cut off before a takeover for 6 s more.

Change: a session may continue without a confirmed ownership only while the stored record cannot say that contact is lost: from the order to store that on, until a record without it is durable. Sessions with executors whose inherited record says so begin without that permission. The owner already gave these executors no new tasks until then.

--- a/coordinator/continuation_test.go
+++ b/coordinator/continuation_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -198,3 +199,44 @@
 		c.checkViolations()
 	})
 }
+
+// Guards against a new owner that takes the tasks of an executor for gone while a former owner goes on extending their leases: the former owner
+// has stored that contact is lost, regains it, and loses the store before it can store that.
+func TestFormerOwnersContinueOnlyWhereTheirRecordsSaySo(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 40 * time.Second, workload.EndDone })
+		// Wait until leases that an earlier owner may have granted have expired.
+		time.Sleep(20 * time.Second)
+		c.submit("job", plainStep(2))
+		time.Sleep(time.Second)
+		former := c.ownerHost()
+		for _, h := range c.hosts {
+			h.unreachable.Store("x0", true)
+		}
+		lostIsStored := func() bool {
+			row, ok := c.store.Get(executorRecordKey("x0"))
+			assert.Assert(t, ok)
+			var record executorRecord
+			assert.NilError(t, json.Unmarshal(row.Value, &record))
+			return record.Lost
+		}
+		for range 1000 {
+			if lostIsStored() {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		former.handle.SetFault(func(bool) rows.Fault { return rows.Refuse })
+		former.unreachable.Delete("x0")
+		time.Sleep(300 * time.Millisecond)
+		assert.Assert(t, former.manager.OwnsJobs(), "contact is regained with a confirmed ownership")
+		c.fleet.Add("x1", capacity)
+		putExecutor(c.store, "x1", capacity)
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, lostIsStored())
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 4, "the tasks start elsewhere once their leases have expired")
+		c.checkViolations()
+	})
+}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,9 @@
 	tokens    *session.Tokens
 	lag       *elapsed.Lag
 	endpoints map[string]session.Endpoint
+	// continuable tells, by executor, whether its session may continue without a confirmed ownership. It must not while the stored record
+	// may say that contact is lost; see maxInheritedLease.
+	continuable map[string]*atomic.Bool
 	// jobRecords holds the stored job records until all jobs are loaded.
 	jobRecords map[string]storedJobRecord
 	rows       *ownerRows
@@ -113,8 +117,8 @@
 		events:   make(chan any, eventBuffer),
 		queries:  make(chan func(*scheduler.Core)),
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
-		lag:        elapsed.NewLag(ctx),
-		endpoints:  make(map[string]session.Endpoint),
+		lag:       elapsed.NewLag(ctx),
+		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
 		jobRecords: make(map[string]storedJobRecord), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
 		startedAt: opts.Now(),
 	}
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -150,7 +150,7 @@
 		l.core.Configure(now, &workload.Configuration{Version: 1, Services: []workload.Service{{Name: testService}}})
 		l.core.PutExecutor(now, workload.Executor{ID: "x", Service: testService, Capacity: capacity})
 		l.executorRecords["x"] = executorRecord{Address: "addr-x", Service: testService}
-		l.openSession("x", l.executorRecords["x"])
+		l.openSession("x", l.executorRecords["x"], true)
 		time.Sleep(100 * time.Millisecond)
 		handleAll()
 
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -166,7 +166,7 @@
 		}
 		l.core.AddUnreconciled(now, id, record.Service, tasks)
 		if record.Address != "" {
-			l.openSession(id, record)
+			l.openSession(id, record, !record.Lost)
 			continue
 		}
 		// If the executor is registered, its record has an address again, and its session reports what it runs.
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -168,10 +169,14 @@
 	record.Lost, record.Tasks = true, l.core.TasksOn(id)
 	l.executorRecords[id] = record
 	l.core.Suspend(now, id, true)
+	if continuable := l.continuable[id]; continuable != nil {
+		continuable.Store(false)
+	}
 	l.storeExecutorRecord(id)
 }
 
-// recordContactRegained undoes recordContactLost. The executor gets new tasks once the change is durable.
+// recordContactRegained undoes recordContactLost. The executor gets new tasks, and its session may continue without a confirmed
+// ownership, once the change is durable.
 func (l *leadership) recordContactRegained(id string) {
 	record, ok := l.executorRecords[id]
 	if !ok || !record.Lost {
@@ -204,14 +209,17 @@
 	if !ok || current.Address != stored.Address || current.Service != stored.Service {
 		return
 	}
-	l.openSession(id, current)
-	if !stored.Lost && !current.Lost {
+	inContact := !stored.Lost && !current.Lost
+	l.openSession(id, current, inContact)
+	if inContact {
 		l.core.Suspend(l.opts.Now(), id, false)
+		l.continuable[id].Store(true)
 	}
 }
 
-// openSession opens a session with an executor, and closes one with another address.
-func (l *leadership) openSession(id string, record executorRecord) {
+// openSession opens a session with an executor, and closes one with another address. continuable is the first value in
+// l.continuable.
+func (l *leadership) openSession(id string, record executorRecord, continuable bool) {
 	address := record.Address
 	if l.sessions[id] != nil {
 		if l.endpoints[id].Address == address {
@@ -223,17 +231,20 @@
 	}
 	l.log.WithFields(log.Fields{"executor": id, "address": address}).Info("session with executor begins")
 	l.endpoints[id] = session.Endpoint{ID: id, Address: address}
+	mayContinue := &atomic.Bool{}
+	mayContinue.Store(continuable)
+	l.continuable[id] = mayContinue
 	l.sessions[id] = session.New(l.ctx, l.endpoints[id], session.Options{
 		Client: l.opts.Executors, Tokens: l.tokens, Lease: session.DefaultLease, MaxLease: l.opts.MaxLease,
 		InheritedLease: record.maxInheritedLease(), Now: l.opts.Now, Losses: l.losses, LateHolds: l.lateHolds, Lag: l.lag.Value,
-		Owns: l.opts.OwnsJobs, MayContinue: l.opts.MayContinue,
+		Owns: l.opts.OwnsJobs, MayContinue: func() bool { return mayContinue.Load() && l.opts.MayContinue() },
 		Emit: func(e session.Event) { l.emit(e) },
 	})
 }
 
 // maxInheritedLease returns how long leases that a former owner granted may still last. A former owner that was replaced
-// while it ran may keep extending them for ownership.Continuation where it is in contact. Once contact is lost, regaining it
-// needs a confirmed ownership, which ends after ownership.Validity.
+// while it ran may keep extending them for ownership.Continuation where it is in contact. If its record says that contact was lost, it
+// may extend them only with a confirmed ownership, which ends after ownership.Validity.
 func (r executorRecord) maxInheritedLease() time.Duration {
 	if r.Lost || !r.inherited {
 		return session.DefaultLease + ownership.Validity
@@ -258,6 +269,7 @@
 	l.log.WithField("executor", id).Info("executor removed")
 	delete(l.sessions, id)
 	delete(l.endpoints, id)
+	delete(l.continuable, id)
 	delete(l.executorRecords, id)
 	l.rows.remove(executorRecordKey(id))
 }
