Read the fencing token of a start before its deadline

Callers would see: a task runs twice.

Cause: if a report shows a restart between the two, the order carries the new token and a deadline on the former incarnation's clock.

Change: the token is read first. If the restart is noticed in between, the order carries an old token, which the new incarnation rejects, or accepts with a deadline on its own clock, which is counted.

--- a/session/orders.go
+++ b/session/orders.go
@@ -29,11 +29,12 @@
 	if !s.authorised() {
 		return NotSent
 	}
+	// In this order, because the deadline must not be on the clock of an earlier incarnation than the token is for.
+	o.Fence = s.fencingToken()
 	o.DeadlineMS = s.nextDeadline()
 	if o.DeadlineMS == 0 {
 		return NotSent
 	}
-	o.Fence = s.fencingToken()
 	key := runKey{o.Task, o.Run}
 	resolved := s.addPendingStart(key)
 	defer s.removePendingStart(key)
