Allow for slow clocks where the record of an executor is damaged

Callers would see: a task runs twice after a takeover.

Cause: for an executor whose stored record cannot be decoded, a new owner waited for the longest inherited lease by its own clock (13 s), without the 2 % by which the executor's clock may run slow and without the time to kill a task, which sessions add. It matters only if the takeover follows the former owner's last renewal at once, as after a refused probe of an owner that runs.

Before: TestLeasesOfDamagedRecordsLastAsLongAsOthers failed with "expired after 13s" (13.27 s are needed).

Change: both use session.MaxLeaseDuration.

--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -13,6 +13,7 @@
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/scheduler"
+	"github.com/tamarackworks/tamarackworks/session"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -170,7 +171,7 @@
 			continue
 		}
 		// If the executor is registered, its record has an address again, and its session reports what it runs.
-		l.scheduleLeaseExpiry(id, record.maxInheritedLease())
+		l.scheduleLeaseExpiry(id, session.MaxLeaseDuration(record.maxInheritedLease()))
 		if l.executorRecords[id].Address == "" {
 			delete(l.executorRecords, id)
 			l.rows.remove(executorRecordKey(id))
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -411,3 +412,19 @@
 		assert.DeepEqual(t, history, scheduler.RouteHistory{Observed: 4, UnknownBefore: 1, Moved: map[string]uint64{"queue": 4}})
 	})
 }
+
+// Guards against leases that count as expired too early on an executor whose record is damaged: its clock may run slow, as other executors' may.
+func TestLeasesOfDamagedRecordsLastAsLongAsOthers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		began := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newTestLeadership(ctx, func() time.Duration { return time.Since(began) + time.Second })
+		record := executorRecord{inherited: true}
+		l.resumeInherited(map[string]executorRecord{"x": record})
+		assert.Equal(t, <-l.events, any(inheritedLeasesExpired{"x"}))
+		const slowest = 0.98
+		assert.Assert(t, time.Since(began).Seconds() > record.maxInheritedLease().Seconds()/slowest, "expired after %s", time.Since(began))
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/session/hold.go
+++ b/session/hold.go
@@ -156,7 +156,7 @@
 		s.fence = s.opts.Tokens.next()
 		// A hold that arrives late, with a deadline on the old incarnation's clock, may extend the leases of the new one up to
 		// the longest lease that an executor grants.
-		s.inheritedUntil = now + maxElapsed(s.opts.MaxLease) + expiryMargin
+		s.inheritedUntil = now + MaxLeaseDuration(s.opts.MaxLease)
 	}
 	if s.unanswered {
 		s.opts.Losses.record(s.endpoint.ID, now)
--- a/session/session.go
+++ b/session/session.go
@@ -143,7 +143,7 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}), lateResponses: make(chan holdResponse), holdWait: time.Second,
 		fence: opts.Tokens.next(), pendingStarts: make(map[runKey]chan struct{}), ambiguousStarts: make(map[runKey]time.Duration),
 	}
-	s.inheritedUntil = opts.Now() + maxElapsed(opts.InheritedLease) + expiryMargin
+	s.inheritedUntil = opts.Now() + MaxLeaseDuration(opts.InheritedLease)
 	go s.run()
 	return s
 }
@@ -172,9 +172,9 @@
 	}
 }
 
-// maxElapsed returns the longest time on this host's clock in which an executor's clock advances by d.
-func maxElapsed(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / (1 - maxClockSlowness))
+// MaxLeaseDuration returns how long tasks with a lease of d on an executor's clock may run at most, on this host's clock.
+func MaxLeaseDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-maxClockSlowness)) + expiryMargin
 }
 
 // authorised reports whether the session may extend leases and start tasks. Without confirmed ownership it may only do so on
@@ -199,7 +199,7 @@
 	at := s.inheritedUntil
 	if s.maxDeadlineMS != 0 {
 		left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
-		at = max(at, s.clockAt+maxElapsed(left)+expiryMargin)
+		at = max(at, s.clockAt+MaxLeaseDuration(left))
 	}
 	if s.unnoticedRestart {
 		at = max(at, s.unnoticedLeasesExpireAt())
@@ -210,7 +210,7 @@
 // unnoticedLeasesExpireAt returns when all leases have certainly expired that an incarnation of the executor that the session does not
 // know may have granted. A deadline on the clock of the former incarnation is no limit there. The caller holds the lock.
 func (s *Session) unnoticedLeasesExpireAt() time.Duration {
-	return s.unconfirmedAt + maxOrderDelay + maxElapsed(s.opts.MaxLease) + expiryMargin
+	return s.unconfirmedAt + maxOrderDelay + MaxLeaseDuration(s.opts.MaxLease)
 }
 
 // LeasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
