--- a/coordinator/continuation_test.go
+++ b/coordinator/continuation_test.go
@@ -240,3 +240,30 @@
 		c.checkViolations()
 	})
 }
+
+// Guards against an owner that does not go on with the executors that it has inherited while the store is down: the leases of their tasks
+// expire, so that they run again.
+func TestNewOwnersContinueWithInheritedExecutors(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 3)
+		c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 10 * time.Second, workload.EndDone })
+		time.Sleep(5 * time.Second)
+		c.kill(c.ownerHost())
+		time.Sleep(20 * time.Second)
+		c.submit("job", plainStep(6))
+		time.Sleep(time.Second)
+		for _, h := range c.hosts {
+			h.handle.SetFault(func(bool) rows.Fault { return rows.DropCall })
+		}
+		time.Sleep(ownership.Continuation - 2*time.Second)
+		for _, h := range c.hosts {
+			if !h.killed.Load() {
+				h.handle.SetFault(nil)
+			}
+		}
+		c.awaitAll([]string{"job"}, workload.StatusCompleted, 10*time.Second)
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 6, "no task started twice")
+		c.checkViolations()
+	})
+}
