--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -48,6 +49,9 @@
 	tokens    *session.Tokens
 	lag       *elapsed.Lag
 	endpoints map[string]session.Endpoint
+	// continuable tells, by executor, whether its session may continue without a confirmed ownership. It must not while the stored record
+	// may say that contact is lost; see maxInheritedLease.
+	continuable map[string]*atomic.Bool
 	// jobRecords holds the stored job records until all jobs are loaded.
 	jobRecords map[string]storedJobRecord
 	rows       *ownerRows
@@ -113,8 +117,8 @@
 		events:   make(chan any, eventBuffer),
 		queries:  make(chan func(*scheduler.Core)),
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
-		lag:        elapsed.NewLag(ctx),
-		endpoints:  make(map[string]session.Endpoint),
+		lag:       elapsed.NewLag(ctx),
+		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
 		jobRecords: make(map[string]storedJobRecord), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
 		startedAt: opts.Now(),
 	}
@@ -202,7 +206,10 @@
 		l.core.LoseContact(now, e.Executor, e.Refused)
 		l.recordContactLost(now, e.Executor)
 	case session.LeasesExpired:
-		l.core.ExpireLeases(now, e.Executor)
+		// A start may have extended the leases since the event, or the session may be another one.
+		if s := l.sessions[e.Executor]; s != nil && s.LeasesExpired() {
+			l.core.ExpireLeases(now, e.Executor)
+		}
 	case inheritedLeasesExpired:
 		l.handleInheritedLeasesExpired(now, e.executor)
 	case session.Started:
--- a/session/hold.go
+++ b/session/hold.go
@@ -23,7 +23,7 @@
 			s.awaitAcks()
 			continue
 		}
-		if s.leasesExpired() {
+		if s.LeasesExpired() {
 			s.opts.Emit(LeasesExpired{Executor: s.endpoint.ID, At: s.opts.Now()})
 		}
 		s.pauseBeforeRetry()
@@ -81,7 +81,7 @@
 	}
 	switch {
 	case r.err != nil:
-		return s.handleUnanswered(r.err)
+		return s.handleUnanswered(r.err, order.DeadlineMS != 0)
 	case r.result == Fenced:
 		s.opts.Emit(Superseded{Executor: s.endpoint.ID})
 		return false
@@ -110,9 +110,12 @@
 }
 
 // handleUnanswered handles a hold without a response and reports whether to send the next one at once. Contact is lost only
-// after two unanswered holds in a row, because a single response may get lost.
-func (s *Session) handleUnanswered(err error) bool {
+// after two unanswered holds in a row, because a single response may get lost. extends is set if the hold had a deadline.
+func (s *Session) handleUnanswered(err error, extends bool) bool {
 	s.mu.Lock()
+	if extends {
+		s.unconfirmedAt = s.opts.Now()
+	}
 	retry := s.inContact && !s.unanswered
 	s.unanswered = retry
 	s.mu.Unlock()
@@ -153,13 +156,13 @@
 		s.fence = s.opts.Tokens.next()
 		// A hold that arrives late, with a deadline on the old incarnation's clock, may extend the leases of the new one up to
 		// the longest lease that an executor grants.
-		s.inheritedUntil = now + maxElapsed(s.opts.MaxLease) + expiryMargin
+		s.inheritedUntil = now + MaxLeaseDuration(s.opts.MaxLease)
 	}
 	if s.unanswered {
 		s.opts.Losses.record(s.endpoint.ID, now)
 	}
 	s.incarnation, s.inContact, s.unanswered = r.BornUnixMS, true, false
-	s.clockMS, s.clockAt = r.ClockMS, now
+	s.clockMS, s.clockAt, s.reportSentAt, s.unnoticedRestart = r.ClockMS, now, sent, false
 	r.Ended = s.takeNewEnds(r.Ended)
 	lastEnd := s.lastEnd
 	known := make(map[runKey]bool, len(r.Running))
--- a/session/orders.go
+++ b/session/orders.go
@@ -31,18 +31,20 @@
 	if !s.authorised() {
 		return NotSent
 	}
+	// In this order, because the deadline must not be on the clock of an earlier incarnation than the token is for.
+	o.Fence = s.fencingToken()
 	o.DeadlineMS = s.nextDeadline()
 	if o.DeadlineMS == 0 {
 		return NotSent
 	}
-	o.Fence = s.fencingToken()
 	key := runKey{o.Task, o.Run}
 	resolved := s.addPendingStart(key)
 	defer s.removePendingStart(key)
 	ambiguous := false
 	for tries := 1; ; tries++ {
-		resp, err := Response{}, errNotOwner
-		if s.authorised() {
+		resp, err := Response{}, errNotAttempted
+		// Once its deadline has passed, only an incarnation that the session does not know could accept the order.
+		if !(ambiguous && s.LeasesExpired()) && s.authorised() {
 			e.Attempts++
 			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
 		}
@@ -83,25 +85,24 @@
 		if ambiguous && s.fencingToken() != o.Fence {
 			return s.cancelStart(o)
 		}
-		if s.ctx.Err() != nil || s.leasesExpired() {
+		if s.ctx.Err() != nil || s.ambiguousStartsOver() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetryPause)
 	}
 }
 
-// errNotOwner means that an attempt was not made, because another process may own the executors by now.
-var errNotOwner = errors.Wrap(ErrNotSent, "ownership is not confirmed")
+// errNotAttempted means that an attempt was not made, because another process may own the executors by now or the order has expired.
+var errNotAttempted = errors.Wrap(ErrNotSent, "ownership is not confirmed or the order has expired")
 
 // isFinal reports whether the executor refuses all attempts of the same order that arrive after this result.
 func (r Result) isFinal() bool { return r == TooLate || r == Fenced }
 
 // cancelStart ensures that a start with an unanswered attempt is not carried out later. It is called when the executor has
 // refused another attempt, or has become another incarnation, to whose clock the deadline of the order does not apply. It
-// stops the run, or waits until the order can no longer be carried out.
+// stops the run, or waits until the order can no longer be carried out and the run, if it was, has ended with its lease.
 func (s *Session) cancelStart(o StartOrder) Result {
-	limit := s.opts.Now() + maxOrderDelay
-	for s.ctx.Err() == nil && s.opts.Now() < limit {
+	for s.ctx.Err() == nil && !s.ambiguousStartsOver() {
 		if s.opts.Owns() {
 			fence := s.fencingToken()
 			resp, err := s.attempt(contactLossTries, func(ctx context.Context) (Response, error) {
@@ -116,6 +117,14 @@
 	return Expired
 }
 
+// ambiguousStartsOver reports whether no run goes on or begins any more, on any incarnation, whose start has an unanswered attempt.
+func (s *Session) ambiguousStartsOver() bool {
+	s.mu.Lock()
+	over := s.opts.Now() >= s.unnoticedLeasesExpireAt()
+	s.mu.Unlock()
+	return over && s.LeasesExpired()
+}
+
 // fencingToken returns the fencing token for the current incarnation of the executor.
 func (s *Session) fencingToken() uint64 {
 	s.mu.Lock()
@@ -184,7 +193,7 @@
 				s.handleFailedAttempt(tries, err)
 			}
 		}
-		if s.ctx.Err() != nil || s.leasesExpired() {
+		if s.ctx.Err() != nil || s.LeasesExpired() {
 			return Expired
 		}
 		elapsed.Sleep(s.ctx, orderRetryPause)
@@ -206,16 +215,14 @@
 func (s *Session) attempt(tries int, call func(context.Context) (Response, error)) (Response, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.lagAdjusted(min(firstOrderTimeout<<min(tries-1, 4), maxOrderTimeout)))
 	defer cancel()
+	clock := s.clockRange()
 	resp, err := call(ctx)
 	if err == nil {
-		s.updateClock(resp.ClockMS, resp.BornUnixMS)
+		s.checkIncarnation(clock, resp)
 	}
 	return resp, err
 }
 
-// LeasesExpireAt returns when all leases on the executor will have expired if nothing extends them.
-func (s *Session) LeasesExpireAt() time.Duration { return s.leasesExpireAt() }
-
 // runKey identifies one run of a task.
 type runKey struct {
 	task workload.TaskID
@@ -245,6 +252,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ambiguousStarts[key] = s.opts.Now()
+	s.unconfirmedAt = s.opts.Now()
 }
 
 // resolveStart ends the attempts to start a run; the caller holds the lock.
--- a/session/session.go
+++ b/session/session.go
@@ -99,9 +99,17 @@
 	awaitingLate  atomic.Bool
 
 	mu sync.Mutex
-	// clockMS is what the executor's clock showed at clockAt, in milliseconds.
+	// clockMS is what the executor's clock showed in its last report, which arrived at clockAt, in milliseconds. Responses to orders do
+	// not set it, because they do not name the incarnation.
 	clockMS int64
 	clockAt time.Duration
+	// reportSentAt is when that report was requested.
+	reportSentAt time.Duration
+	// unnoticedRestart is set if a response to an order came from another incarnation than the last report.
+	unnoticedRestart bool
+	// unconfirmedAt is when an order with a deadline was last left unanswered, or answered by another incarnation than that of the
+	// last report. Such an order may extend the leases of an incarnation that the session does not know.
+	unconfirmedAt time.Duration
 	// maxDeadlineMS is the latest deadline sent to the current incarnation, on its clock.
 	maxDeadlineMS int64
 	// inheritedUntil is when leases that maxDeadlineMS does not cover have expired: those that earlier owners granted, and
@@ -135,7 +143,7 @@
 		wake: make(chan struct{}, 1), done: make(chan struct{}), lateResponses: make(chan holdResponse), holdWait: time.Second,
 		fence: opts.Tokens.next(), pendingStarts: make(map[runKey]chan struct{}), ambiguousStarts: make(map[runKey]time.Duration),
 	}
-	s.inheritedUntil = opts.Now() + maxElapsed(opts.InheritedLease) + expiryMargin
+	s.inheritedUntil = opts.Now() + MaxLeaseDuration(opts.InheritedLease)
 	go s.run()
 	return s
 }
@@ -164,9 +172,9 @@
 	}
 }
 
-// maxElapsed returns the longest time on this host's clock in which an executor's clock advances by d.
-func maxElapsed(d time.Duration) time.Duration {
-	return time.Duration(float64(d) / (1 - maxClockSlowness))
+// MaxLeaseDuration returns how long tasks with a lease of d on an executor's clock may run at most, on this host's clock.
+func MaxLeaseDuration(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-maxClockSlowness)) + expiryMargin
 }
 
 // authorised reports whether the session may extend leases and start tasks. Without confirmed ownership it may only do so on
@@ -188,16 +196,26 @@
 func (s *Session) leasesExpireAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.maxDeadlineMS == 0 {
-		return s.inheritedUntil
+	at := s.inheritedUntil
+	if s.maxDeadlineMS != 0 {
+		left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
+		at = max(at, s.clockAt+MaxLeaseDuration(left))
 	}
-	left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
-	return max(s.inheritedUntil, s.clockAt+maxElapsed(left)+expiryMargin)
+	if s.unnoticedRestart {
+		at = max(at, s.unnoticedLeasesExpireAt())
+	}
+	return at
+}
+
+// unnoticedLeasesExpireAt returns when all leases have certainly expired that an incarnation of the executor that the session does not
+// know may have granted. A deadline on the clock of the former incarnation is no limit there. The caller holds the lock.
+func (s *Session) unnoticedLeasesExpireAt() time.Duration {
+	return s.unconfirmedAt + maxOrderDelay + MaxLeaseDuration(s.opts.MaxLease)
 }
 
-// leasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
+// LeasesExpired reports whether all leases on the executor have certainly expired. Without confirmed ownership this is
 // unknown: a new owner may have extended them, and may have seen the runs end.
-func (s *Session) leasesExpired() bool { return s.opts.Owns() && s.opts.Now() >= s.leasesExpireAt() }
+func (s *Session) LeasesExpired() bool { return s.opts.Owns() && s.opts.Now() >= s.leasesExpireAt() }
 
 // nextDeadline returns the deadline to send, in milliseconds on the executor's clock, or 0 while that clock is unknown.
 func (s *Session) nextDeadline() int64 {
@@ -212,16 +230,36 @@
 	return d
 }
 
-// updateClock records the executor's clock from a response to an order.
-func (s *Session) updateClock(clockMS, incarnation int64) {
-	if clockMS == 0 {
-		return
-	}
+// clockRange is the range in which the executor's clock lies when it carries out an order, if it is the incarnation of the last report.
+// Responses to orders do not name the incarnation.
+type clockRange struct {
+	incarnation int64
+	minMS       int64
+	// sentAt is when the clock can have shown minMS at the earliest.
+	sentAt time.Duration
+}
+
+// clockRange returns the range for an order that is sent now.
+func (s *Session) clockRange() clockRange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if incarnation != 0 && s.incarnation != 0 && incarnation != s.incarnation {
-		// The clock belongs to another incarnation; the hold loop handles the restart.
+	return clockRange{s.incarnation, s.clockMS, s.reportSentAt}
+}
+
+// checkIncarnation records whether a response came from another incarnation than the one of the last report before the order.
+func (s *Session) checkIncarnation(r clockRange, resp Response) {
+	now := s.opts.Now()
+	maxMS := r.minMS + (now - r.sentAt + expiryMargin).Milliseconds()
+	named := resp.BornUnixMS != 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case resp.ClockMS == 0 || r.incarnation == 0 || r.incarnation != s.incarnation:
+		return
+	case named && resp.BornUnixMS == r.incarnation:
+		return
+	case !named && resp.ClockMS >= r.minMS && resp.ClockMS <= maxMS:
 		return
 	}
-	s.clockMS, s.clockAt = clockMS, s.opts.Now()
+	s.unnoticedRestart, s.unconfirmedAt = true, now
 }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -537,3 +537,121 @@
 		assert.Equal(t, len(h.lateEnds()), 0)
 	})
 }
+
+// Guards against tasks that wait for hours on a silent executor: the response of the former incarnation to an order, which does not name the
+// incarnation, is taken for the clock of the current one.
+func TestResponsesToOrdersDoNotSetTheClockOfAnotherIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.UseOwnClocks(maxLease)
+		h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Hour, workload.EndDone })
+		time.Sleep(time.Minute)
+		h.lag.Store(int64(time.Second))
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			if order == "pace" {
+				return workers.SlowResponse
+			}
+			return workers.None
+		})
+		h.session.Pace(order(1).Task, 1, 50)
+		time.Sleep(10 * time.Millisecond)
+		h.fleet.SetFirstClock(time.Hour)
+		h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+		time.Sleep(workers.LateBy - 50*time.Millisecond)
+		h.lag.Store(0)
+		h.session.Start(order(1))
+		time.Sleep(20 * time.Millisecond)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		h.fleet.SetUnreachable("x", true)
+		for range 2000 {
+			time.Sleep(20 * time.Millisecond)
+			if h.count(session.LeasesExpired{}) > 0 {
+				break
+			}
+		}
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0, "the leases never expired")
+		assert.Equal(t, len(h.fleet.Running()), 0)
+	})
+}
+
+// startReachesNextIncarnation drops all orders of the session, except that the first attempt of a start is carried out as fault says,
+// by an incarnation of which the session does not know.
+func (h *harness) startReachesNextIncarnation(fault workers.Fault) {
+	h.fleet.UseOwnClocks(maxLease)
+	h.fleet.DeliverOrdersAfterRestart()
+	h.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return time.Hour, workload.EndDone })
+	time.Sleep(5 * time.Minute)
+	first := true
+	h.fleet.SetFault(func(_, order string) workers.Fault {
+		if order == "start" && first {
+			first = false
+			return fault
+		}
+		return workers.DropOrder
+	})
+	h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
+	h.session.Start(order(1))
+}
+
+// Guards against a task that runs twice: an executor that has restarted unnoticed accepts a start, and its new clock is behind the
+// deadline of the order.
+func TestLeasesOfAnUnnoticedIncarnationMayLastAsLongAsAny(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.startReachesNextIncarnation(workers.None)
+		began := time.Now()
+		for h.count(session.LeasesExpired{}) == 0 && time.Since(began) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0, "the leases never expired")
+		assert.Equal(t, len(h.fleet.Running()), 0, "expired after %s", time.Since(began))
+	})
+}
+
+// Guards against a task that runs twice: an executor that has restarted unnoticed carries out a start without an answer. Its new clock
+// is behind the deadline of the order, so that the run lasts as long as the longest lease.
+func TestStartsAreNotGivenUpWhileANewIncarnationMayRunThem(t *testing.T) {
+	for name, fault := range map[string]workers.Fault{"at once": workers.LoseResponse, "late": workers.Late} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.startReachesNextIncarnation(fault)
+				began := time.Now()
+				for len(h.started()) == 0 && time.Since(began) < time.Minute {
+					time.Sleep(50 * time.Millisecond)
+				}
+				assert.DeepEqual(t, h.started(), []session.Result{session.Expired})
+				assert.Equal(t, len(h.fleet.Running()), 0, "given up after %s", time.Since(began))
+			})
+		})
+	}
+}
+
+// Guards against a former owner that gives up a start that it could not retract, because it may not send stops without confirmed ownership.
+func TestStartsAreNotGivenUpWithoutOwnership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.continues.Store(true)
+		n := 0
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			if order == "start" {
+				if n++; n == 1 {
+					return workers.LoseResponse
+				}
+				return workers.Refuse
+			}
+			if order == "hold" && n > 0 {
+				return workers.DropOrder
+			}
+			return workers.None
+		})
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		h.mu.Lock()
+		h.owns = false
+		h.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(h.started()), 0)
+	})
+}
