--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -68,7 +68,7 @@
 			Name: "tamarack_unplaced_long_running_tasks", Help: "Long-running tasks for which no executor was found.",
 		}),
 		lag: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "tamarack_owner_lag_seconds", Help: "How late timers of the owner fire, with decay.",
+			Name: "tamarack_owner_lag_seconds", Help: "How long goroutines of the owner wait for their turn, with decay.",
 		}),
 		waits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_job_wait_seconds_total", Help: "Time that jobs had ready tasks that ran nowhere, by what they waited for.",
