Keep the cordon of an executor whose registration lapses

Cause: an executor without a registration and without tasks was dropped, and its cordon with it, while the order for its machine was under way. Ruled out: a start elsewhere before the end; the executor had really ended, so nothing ran twice. Change: a cordoned executor is kept. It is dropped after the order, when it has ended or is uncordoned. Before: TestACordonOutlastsTheRegistration fails (the executor is dropped). After: it passes.

--- a/scheduler/core_test.go
+++ b/scheduler/core_test.go
@@ -595,6 +595,21 @@
 	assert.Assert(t, h.core.ForgetExecutor("x0"))
 }
 
+// Guards against tasks that start on an executor whose machine is about to leave: its registration lapses while the order for the machine is
+// under way, and comes back.
+func TestACordonOutlastsTheRegistration(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.Cordon(h.now, "x0", true)
+	h.core.DeregisterExecutor("x0")
+	assert.Assert(t, !h.core.ForgetExecutor("x0"))
+	h.addExecutor("x0", size)
+	h.submit("job", batchStep(1, 500))
+	assert.Equal(t, len(h.starts), 0)
+	h.core.Cordon(h.now, "x0", false)
+	h.core.DeregisterExecutor("x0")
+	assert.Assert(t, h.core.ForgetExecutor("x0"))
+}
+
 // Guards against a task that starts again although a late response of its silent executor has listed that it is done.
 func TestEndsListedLateCompleteTasks(t *testing.T) {
 	h := newHarness(t, 2)
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -92,13 +92,13 @@
 	}
 }
 
-// ForgetExecutor drops an executor that is not registered, has no tasks, has listed no end that is not durable, and is not
-// unreconciled, and reports whether it did. A later owner that did not know the executor would start tasks again of which
-// only its list shows that they are done.
+// ForgetExecutor drops an executor that is not registered, has no tasks, has listed no end that is not durable, and is neither
+// unreconciled nor cordoned, and reports whether it did. A later owner that did not know the executor would start tasks again of which
+// only its list shows that they are done. A cordon must hold when the executor registers again, because its machine is ordered.
 func (c *Core) ForgetExecutor(id string) bool {
 	e := c.executors[id]
 	_, unreconciled := c.unreconciled[id]
-	if e == nil || e.registered || len(e.tasks) > 0 || unreconciled || e.lastEnd > e.durableEnd {
+	if e == nil || e.registered || e.cordoned || len(e.tasks) > 0 || unreconciled || e.lastEnd > e.durableEnd {
 		return false
 	}
 	c.removeMember(e)
