Do not retract a start whose run a report shows

What callers saw: work that had begun was stopped and began anew. Cause: an executor that is unhealthy for a while carries the first attempt out, whose response is lost, and refuses the next one and the stops. The session went on to send stops although reports showed the run, and stopped it once the executor took orders again; the scheduler did not know of that stop. Change: retracting a start ends when a report has shown the run or it was stopped; the scheduler decides about it then. Before: TestUnhealthyExecutorsKeepRunsThatReportsShow has 0 runs instead of 1. After: it passes. TestStartsAreNotGivenUpWithoutOwnership: its hold in flight showed the run, which settles the start now.

--- a/session/orders.go
+++ b/session/orders.go
@@ -61,7 +61,7 @@
 			return Unclear
 		case err == nil && ambiguous && resp.Result != OtherIncarnation:
 			// An earlier attempt may still arrive at a time when the executor accepts it, for example when it has room again.
-			return s.cancelStart(o)
+			return s.cancelStart(o, resolved)
 		case err == nil && resp.Result == Fenced:
 			return OtherIncarnation
 		case err == nil:
@@ -83,7 +83,7 @@
 		default:
 		}
 		if ambiguous && s.fencingToken() != o.Fence {
-			return s.cancelStart(o)
+			return s.cancelStart(o, resolved)
 		}
 		if s.ctx.Err() != nil || s.ambiguousStartsOver() {
 			return Expired
@@ -100,9 +100,15 @@
 
 // cancelStart ensures that a start with an unanswered attempt is not carried out later. It is called when the executor has
 // refused another attempt, or has become another incarnation, to whose clock the deadline of the order does not apply. It
-// stops the run, or waits until the order can no longer be carried out and the run, if it was, has ended with its lease.
-func (s *Session) cancelStart(o StartOrder) Result {
+// stops the run, or waits until the order can no longer be carried out and the run, if it was, has ended with its lease. A run that a
+// report shows is left alone; resolved is closed then.
+func (s *Session) cancelStart(o StartOrder, resolved <-chan struct{}) Result {
 	for s.ctx.Err() == nil && !s.ambiguousStartsOver() {
+		select {
+		case <-resolved:
+			return Unclear
+		default:
+		}
 		if s.opts.Owns() {
 			fence := s.fencingToken()
 			resp, err := s.attempt(contactLossTries, func(ctx context.Context) (Response, error) {
