Ignore reports of executors that were dropped

Cause: a report that waits in the queue while its executor is concluded to have ended was applied all the same. The core made the executor known again, and took over the runs that the report lists; no session extends or ends them, so their tasks counted as running for good. Change: a report counts only while the owner has a session with the executor. Before: TestQueuedReportsOfEndedExecutorsAreIgnored has 1 task on the ended executor.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -188,15 +188,17 @@
 	case feed.Batch:
 		l.applyBatch(e, false)
 	case session.Reported:
+		if l.sessions[e.Executor] == nil {
+			// The executor was dropped after the report.
+			return nil
+		}
 		l.opts.Metrics.countReport(e.Report)
 		l.core.Report(now, e.Executor, e.Report, e.SentAt, e.LastEnd)
 		l.recordContactRegained(e.Executor)
 		if e.Restarted {
 			l.log.WithFields(log.Fields{"executor": e.Executor, "born": e.Report.BornUnixMS}).Warn("executor restarted")
 		}
-		if s := l.sessions[e.Executor]; s != nil {
-			s.SetWait(l.core.PollWait(e.Executor))
-		}
+		l.sessions[e.Executor].SetWait(l.core.PollWait(e.Executor))
 	case session.ReportedLate:
 		l.opts.Metrics.countEnds(e.Ended)
 		l.log.WithFields(log.Fields{"executor": e.Executor, "ended": len(e.Ended)}).Info("ended runs listed late")
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -185,3 +185,14 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against tasks that count as running for good on an executor that has ended: a report that was queued behind its end is handled.
+func TestQueuedReportsOfEndedExecutorsAreIgnored(t *testing.T) {
+	l := newTestLeadership(t.Context(), func() time.Duration { return time.Second })
+	task := workload.TaskID{Job: "j"}
+	job := &workload.Job{ID: "j", Service: "pool", Steps: []workload.Step{{Count: 1}}}
+	assert.NilError(t, l.core.AddJob(time.Second, job, nil, 0, true))
+	report := workload.Report{BornUnixMS: 1, Running: []workload.RunningTask{{Task: task, Run: 1}}}
+	assert.NilError(t, l.handle(session.Reported{Executor: "x", Report: report}))
+	assert.Equal(t, len(l.core.TasksOn("x")), 0)
+}
