Take a run over again that was wrongly taken to be gone

What callers saw: two runs of a task at once. Cause: when a report showed a run that the owner had taken to be gone, the run was always stopped as unwanted. Change: while the task waits, the run counts again, so that nothing else starts. It is the last run that this owner placed, on the executor where it was placed, and no end of it was listed. Gangs are left out, as their members go on together or not at all. 'run adopted' names why the run had been taken to be gone. Before: TestPendingTasksDoNotStartBesideAReportedRun has a second start while the first run goes on. After: none, and the first run completes the job.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -125,7 +125,7 @@
 			t.respondedAt = never
 			c.commands = append(c.commands, StopTask{Executor: e.info.ID, Task: t.id, Run: t.run})
 		}
-	case t.state == taskPending && x.Run > t.endedRun && !t.job.status.Final():
+	case t.state == taskPending && !t.job.status.Final() && (x.Run > t.endedRun || !t.step.spec.Gang && t.previous.contradictedBy(e, x)):
 		c.adopt(now, e, t, x)
 	default:
 		c.stopUnwanted(now, e, x.Task, x.Run, "the task is done or runs elsewhere")
@@ -139,8 +139,8 @@
 	}
 }
 
-// adopt takes over a run that an earlier owner started. The executor rejects further orders of that owner, but may still be
-// carrying out a stop, which takes up to StopTimeout.
+// adopt takes over a run that an earlier owner started, or that this owner took to be gone although it goes on. The executor rejects
+// further orders of an earlier owner, but may still be carrying out a stop, which takes up to StopTimeout.
 func (c *Core) adopt(now time.Duration, e *executor, t *task, x workload.RunningTask) {
 	t.setState(taskRunning)
 	t.run = x.Run
@@ -151,7 +151,9 @@
 	}
 	t.job.started = true
 	e.attach(t)
-	c.addDecision(t.id.String(), "run adopted", map[string]any{"executor": e.info.ID, "run": x.Run})
+	fields := map[string]any{"executor": e.info.ID, "run": x.Run}
+	t.previous.addTo(fields)
+	c.addDecision(t.id.String(), "run adopted", fields)
 }
 
 // stopUnwanted orders the stop of a reported run that no task of this owner needs.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -86,6 +86,11 @@
 	cause    lossCause
 }
 
+// contradictedBy reports whether a running task in a report of an executor is the run, which then goes on.
+func (r endOfRun) contradictedBy(e *executor, x workload.RunningTask) bool {
+	return r.cause != "" && r.cause != lossEndListed && r.executor == e.info.ID && r.run == x.Run
+}
+
 // addTo adds the run to log fields.
 func (r endOfRun) addTo(fields map[string]any) {
 	if r.cause != "" {
--- /dev/null
+++ b/scheduler/unwanted_test.go
@@ -0,0 +1,39 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/workload"
+)
+
+// refusedAlthoughItRuns starts the only task of job j on an executor that carries the order out although its outcome is a refusal.
+func refusedAlthoughItRuns(h *harness) StartTask {
+	h.addJob("j", batchStep(1, 3000))
+	h.core.Schedule(h.now, h.now)
+	start := h.core.Commands()[0].(StartTask)
+	h.now += 100 * time.Millisecond
+	h.core.Started(h.now, start.Executor, start.Task, start.Run, StartRefused, "expired")
+	h.running[start.Executor][start.Task] = workload.RunningTask{Task: start.Task, Run: start.Run}
+	return start
+}
+
+// Guards against two runs of a task at once: a waiting task starts although a report shows that the run that was taken to be gone goes on.
+func TestPendingTasksDoNotStartBesideAReportedRun(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, id := range []string{"x0", "x1"} {
+		h.core.Suspend(h.now, id, id == "x1")
+	}
+	start := refusedAlthoughItRuns(h)
+	h.report(start.Executor)
+	h.core.Suspend(h.now, "x1", false)
+	h.advance(600 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 0, "starts: %v while run %d goes on at %s", h.starts, start.Run, start.Executor)
+	assert.Equal(t, len(h.stops), 0, "the run is wanted again")
+	h.end(start.Task, workload.EndDone)
+	h.advance(time.Second)
+	assert.Equal(t, len(h.starts), 0)
+	assert.Equal(t, h.core.jobs["j"].status, workload.StatusCompleted)
+}
