Count runs that no task needs as load of their executor

What callers saw: in the users' record the first run of a pair has a stop and then died, within the stop time-out; a task could also be sent to an executor that was still full. Cause: a reported run that the owner stops as unwanted was no load. Its executor counted as idle, so the machine could be moved or taken for upkeep before the stop took effect, and new tasks were placed on the room that the run still had. Change: until such runs are gone, their executor is not idle and gets no new tasks. What a run of an unknown or final job takes is not known, so there is no partial room. Before: TestUnwantedRunsCountAsLoad finds the executor idle, without load, and a task of the full size starts. After: it waits for the run.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -104,7 +104,7 @@
 	// Usable is set if new tasks may be placed on the executor now, Reachable if it is registered, in contact and not
 	// draining. Reported is set if it has reported to this owner.
 	Usable, Reachable, Reported bool
-	// Tasks is the number of its tasks, LongRunning the number of those that are long-running.
+	// Tasks is the number of its tasks and of runs that no task needs, LongRunning the number of long-running tasks.
 	Tasks, LongRunning int
 	// IdleFor is how long it has had no task; 0 if it has one.
 	IdleFor            time.Duration
@@ -120,7 +120,7 @@
 	usages := make([]Usage, 0, len(c.executors))
 	for id, e := range c.executors {
 		u := Usage{
-			ID: id, Service: e.info.Service, Usable: e.acceptsTasks(now), Tasks: len(e.tasks),
+			ID: id, Service: e.info.Service, Usable: e.acceptsTasks(now), Tasks: e.runs(),
 			Reachable: e.registered && e.inContact && !e.info.Draining, Reported: e.reported,
 			Cordoned: e.cordoned, Yielding: e.yielding, FreeCPU: e.free().CPUMilli,
 		}
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -116,10 +116,10 @@
 	return p.chooseExecutor(t, t.step.spec.Reserved(), "") != nil
 }
 
-// Idle reports whether an executor has no tasks. Unknown executors have none.
+// Idle reports whether an executor runs nothing. Unknown executors run nothing.
 func (c *Core) Idle(id string) bool {
 	e := c.executors[id]
-	return e == nil || len(e.tasks) == 0
+	return e == nil || e.runs() == 0
 }
 
 // PollWait returns how long an executor may hold back a report until a task ends. It is shorter while the progress or the
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -205,6 +205,7 @@
 		return
 	}
 	c.markReconciled(id)
+	c.setUnwantedRuns(now, e, 0)
 	if at, ok := e.crashTime(); ok && !e.inContact {
 		c.recordCrash(now, e, at)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -24,10 +24,14 @@
 	}
 	e.tailRatio = 0
 	present := make(map[workload.TaskID]int, len(r.Running))
+	unwanted := 0
 	for _, x := range r.Running {
 		present[x.Task] = x.Run
-		c.handleRunning(now, e, x, sentAt)
+		if !c.handleRunning(now, e, x, sentAt) {
+			unwanted++
+		}
 	}
+	c.setUnwantedRuns(now, e, unwanted)
 	for _, x := range r.Ended {
 		c.handleEnded(now, e, x)
 	}
@@ -99,12 +103,13 @@
 	return t.respondedAt < sentAt
 }
 
-// handleRunning handles a run that a report shows.
-func (c *Core) handleRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration) {
+// handleRunning handles a run that a report shows, and reports whether a task of this owner has it. Otherwise it is stopped.
+func (c *Core) handleRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration) bool {
 	t := c.task(x.Task)
 	switch {
 	case t == nil:
 		c.stopUnwanted(now, e, x.Task, x.Run, "no job needs it")
+		return false
 	case t.exec == e && t.run == x.Run:
 		t.reportedRun = x.Run
 		if t.state == taskStarting {
@@ -129,7 +134,9 @@
 		c.adopt(now, e, t, x)
 	default:
 		c.stopUnwanted(now, e, x.Task, x.Run, "the task is done or runs elsewhere")
+		return false
 	}
+	return true
 }
 
 // updateTailRatio counts the tail latency of a serving task in the tailRatio of its executor.
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -283,6 +283,9 @@
 	durableEnd int64
 	// idleSince is when the executor last became empty, or when it became known.
 	idleSince time.Duration
+	// unwantedRuns is the number of runs in the last report that no task of this owner needs. Until they are gone the executor is not idle
+	// and gets no new tasks, because what they take of it may not be known.
+	unwantedRuns int
 	// unwantedStopAt is when stopUnwanted last ordered a stop, by task.
 	unwantedStopAt map[workload.TaskID]time.Duration
 	// bestEffortPace is the pace of the best-effort tasks in percent.
@@ -292,6 +295,20 @@
 	tailRatio float64
 }
 
+// runs returns the number of tasks on the executor and of runs there that no task needs.
+func (e *executor) runs() int { return len(e.tasks) + e.unwantedRuns }
+
+// setUnwantedRuns sets the number of runs that no task needs.
+func (c *Core) setUnwantedRuns(now time.Duration, e *executor, n int) {
+	if e.unwantedRuns > 0 && n == 0 {
+		c.dirtyServices[e.info.Service] = true
+		if len(e.tasks) == 0 {
+			e.idleSince = now
+		}
+	}
+	e.unwantedRuns = n
+}
+
 // free returns the resources that are not reserved.
 func (e *executor) free() workload.Resources { return e.info.Capacity.Sub(e.used) }
 
@@ -302,7 +319,7 @@
 
 // acceptsOnceUncordoned reports the same for an executor that is cordoned.
 func (e *executor) acceptsOnceUncordoned(now time.Duration) bool {
-	return e.registered && e.inContact && e.reported && !e.info.Draining && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
+	return e.registered && e.inContact && e.reported && e.unwantedRuns == 0 && !e.info.Draining && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
 }
 
 // attach places a task on the executor and reserves its resources.
--- a/scheduler/unwanted_test.go
+++ b/scheduler/unwanted_test.go
@@ -37,3 +37,20 @@
 	assert.Equal(t, len(h.starts), 0)
 	assert.Equal(t, h.core.jobs["j"].status, workload.StatusCompleted)
 }
+
+// Guards against tasks beyond the capacity of an executor on which an unwanted run still stops.
+func TestUnwantedRunsCountAsLoad(t *testing.T) {
+	h := newHarness(t, 1)
+	unwanted := workload.RunningTask{Task: taskID("unknown", 0, 0), Run: 1}
+	h.running["x0"][unwanted.Task] = unwanted
+	h.report("x0")
+	assert.Equal(t, len(h.stops), 1)
+	assert.Check(t, !h.core.Idle("x0"), "the machine counts as idle and may be moved")
+	assert.Check(t, h.core.Usages(h.now)[0].Tasks > 0, "usage: %+v", h.core.Usages(h.now)[0])
+	h.submit("j", batchStep(1, size.CPUMilli))
+	assert.Equal(t, len(h.starts), 0, "the task fills the executor while the unwanted run is still there")
+	delete(h.running["x0"], unwanted.Task)
+	h.report("x0")
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 1)
+}
