Stop unwanted runs of a new incarnation at once

Cause: after a stop was answered, it was repeated after 1 s at the earliest, also when the executor had restarted meanwhile and its next incarnation had carried the start out after all. Change: the first report of an incarnation clears the times of earlier stops. Before: TestRunsCarriedOutAfterAnAnsweredStopAreStoppedAtOnce has 1 stop instead of 2.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -23,11 +23,16 @@
 		c.dirtyServices[e.info.Service] = true
 	}
 	e.tailRatio = 0
+	restarted := e.incarnation != 0 && r.BornUnixMS != e.incarnation
+	if restarted {
+		// Stops that the former incarnation has answered do not hold for this one.
+		clear(e.unwantedStopAt)
+	}
 	present := make(map[workload.TaskID]int, len(r.Running))
 	unwanted := 0
 	for _, x := range r.Running {
 		present[x.Task] = x.Run
-		if !c.handleRunning(now, e, x, sentAt) {
+		if !c.handleRunning(now, e, x, sentAt, restarted) {
 			unwanted++
 		}
 	}
@@ -35,7 +40,6 @@
 	for _, x := range r.Ended {
 		c.handleEnded(now, e, x)
 	}
-	restarted := e.incarnation != 0 && r.BornUnixMS != e.incarnation
 	if restarted && crashTimeKnown {
 		c.recordCrash(now, e, crashedAt)
 	}
@@ -103,8 +107,9 @@
 	return t.respondedAt < sentAt
 }
 
-// handleRunning handles a run that a report shows, and reports whether a task of this owner has it. Otherwise it is stopped.
-func (c *Core) handleRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration) bool {
+// handleRunning handles a run that a report shows, and reports whether a task of this owner has it. Otherwise it is stopped. restarted is set
+// in the first report of an incarnation.
+func (c *Core) handleRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration, restarted bool) bool {
 	t := c.task(x.Task)
 	switch {
 	case t == nil:
@@ -126,7 +131,7 @@
 			t.inheritedStopDeadline = 0
 		}
 		t.updateTailRatio(x)
-		if (t.state == taskStopping || t.state == taskDone) && t.respondedAt != never && now-t.respondedAt > stopRetryInterval {
+		if (t.state == taskStopping || t.state == taskDone) && t.respondedAt != never && (restarted || now-t.respondedAt > stopRetryInterval) {
 			t.respondedAt = never
 			c.commands = append(c.commands, StopTask{Executor: e.info.ID, Task: t.id, Run: t.run})
 		}
--- a/scheduler/unwanted_test.go
+++ b/scheduler/unwanted_test.go
@@ -54,3 +54,18 @@
 	h.runCommands()
 	assert.Equal(t, len(h.starts), 1)
 }
+
+// Guards against a run of a cancelled task that goes on: the next incarnation of the executor carries its start out after the stop was answered.
+func TestRunsCarriedOutAfterAnAnsweredStopAreStoppedAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob("j", batchStep(1, 3000))
+	h.core.Schedule(h.now, h.now)
+	start := h.core.Commands()[0].(StartTask)
+	h.core.Cancel(h.now, "j")
+	h.runCommands()
+	assert.Equal(t, len(h.stops), 1)
+	h.now += 100 * time.Millisecond
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2, Running: []workload.RunningTask{{Task: start.Task, Run: start.Run}}}, h.now-time.Millisecond, 0)
+	h.runCommands()
+	assert.Equal(t, len(h.stops), 2, "no stop reaches the new incarnation")
+}
