Test that tasks run once beside moves, restarts, stalls and late responses

The new test draws them: the machine service carries orders out (moves between pools, maintenance waves, confirmations of what was done before, busy machines, lost and slow responses), lists come in pages by offset, each read at another moment, with machines removed in between; executors take 0.9 s to stop, restart under their ID with a clock of their own, and lose their registration for a while; the control goroutine stalls for 0.3 to 2 s; calls and their responses take up to 0.3 s and 0.6 s, so that they overtake each other. As on the platform, responses to orders carry a clock and no incarnation.

--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -241,6 +242,10 @@
 	// hostFaults holds a fault for all calls of a host to the store; None stands for random faults.
 	hostFaults [3]rows.Fault
 	crashed    map[string]bool
+	// healthyCalls is how many further calls to the store are healthy for each ten calls of storeFault.
+	healthyCalls int
+	// stallDue makes the next call of stall sleep.
+	stallDue atomic.Bool
 }
 
 func (f *randomFaults) intN(n int) int {
@@ -272,7 +277,7 @@
 	if time.Now().After(f.faultsEndAt) {
 		return rows.None
 	}
-	roll := f.intN(10)
+	roll := f.intN(10 + f.healthyCalls)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.hostFaults[host] != rows.None {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -29,13 +29,19 @@
 )
 
 // testDirectory decodes executors, configurations and waves from plain JSON.
-type testDirectory struct{}
+type testDirectory struct {
+	// stall is called at each row of an executor, unless it is nil.
+	stall func()
+}
 
 func (testDirectory) ExecutorTable() string { return "executors" }
 func (testDirectory) OperatorTable() string { return "operator" }
 func (testDirectory) StatusTable() string   { return "status" }
 
-func (testDirectory) Executor(r rowstore.Row) (workload.Executor, error) {
+func (d testDirectory) Executor(r rowstore.Row) (workload.Executor, error) {
+	if d.stall != nil {
+		d.stall()
+	}
 	var e workload.Executor
 	if r.Deleted {
 		return e, nil
@@ -122,7 +128,12 @@
 	// executors is the client of the fleet that the hosts use.
 	executors session.Client
 	machines  *testMachines
-	hosts     []*host
+	// machineService is what the hosts call; it is machines unless a test replaces it before it starts hosts.
+	machineService Machines
+	// stall may block the goroutine that logs or decodes a row; nil never does.
+	stall                                func()
+	machineDelay, stopTimeout, retention time.Duration
+	hosts                                []*host
 
 	logMu    sync.Mutex
 	logLines []string
@@ -141,6 +152,13 @@
 	c.t.Log("\n" + strings.Join(lines, "\n"))
 }
 
+// logLine adds a line with the time to the log lines.
+func (c *cluster) logLine(format string, args ...any) {
+	c.logMu.Lock()
+	defer c.logMu.Unlock()
+	c.logLines = append(c.logLines, fmt.Sprintf("%7d ", c.now().Milliseconds()+1)+fmt.Sprintf(format, args...))
+}
+
 // host is an entry host that can be killed and cut off from single executors.
 type host struct {
 	name   string
@@ -230,9 +248,7 @@
 
 // newClusterWithClient does the same with hosts that call the executors through the client that wrap returns.
 func newClusterWithClient(t *testing.T, hosts, executors int, wrap func(*workers.Fleet) session.Client) *cluster {
-	c := &cluster{t: t, startedAt: time.Now(), store: rows.New(), fleet: workers.New()}
-	c.executors = wrap(c.fleet)
-	c.machines = &testMachines{machines: make(map[string]workload.Machine), done: make(map[string]bool), fleet: c.fleet, store: c.store}
+	c := prepareCluster(t, wrap)
 	config, _ := json.Marshal(workload.Configuration{
 		Version: 1, Services: []workload.Service{{Name: testService, ChecksCapacity: true}},
 		Routes: []workload.Route{{Name: "queue", Service: testService, Policy: workload.Policy{MaxAttempts: 3, SlackFactor: 2}}},
@@ -247,11 +263,24 @@
 			ID: machine, Pool: testService, State: workload.MachineUp, Executor: id, Capacity: capacity,
 		}
 	}
-	for i := range hosts {
+	c.startHosts(hosts)
+	return c
+}
+
+// prepareCluster returns a cluster without hosts, executors and a configuration.
+func prepareCluster(t *testing.T, wrap func(*workers.Fleet) session.Client) *cluster {
+	c := &cluster{t: t, startedAt: time.Now(), store: rows.New(), fleet: workers.New(), retention: time.Minute}
+	c.executors = wrap(c.fleet)
+	c.machines = &testMachines{machines: make(map[string]workload.Machine), done: make(map[string]bool), fleet: c.fleet, store: c.store}
+	c.machineService = c.machines
+	return c
+}
+
+func (c *cluster) startHosts(n int) {
+	for i := range n {
 		c.hosts = append(c.hosts, c.startHost(fmt.Sprintf("h%d", i)))
 	}
-	t.Cleanup(c.stop)
-	return c
+	c.t.Cleanup(c.stop)
 }
 
 func (c *cluster) now() time.Duration { return time.Since(c.startedAt) }
@@ -259,17 +288,18 @@
 func (c *cluster) startHost(name string) *host {
 	h := &host{name: name, handle: c.store.Handle(), done: make(chan struct{})}
 	logger := &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
-		c.logMu.Lock()
-		defer c.logMu.Unlock()
-		c.logLines = append(c.logLines, fmt.Sprintf("%7d %s %s %v", c.now().Milliseconds()+1, name, e.Message, e.Fields))
+		if _, owner := e.Fields["epoch"]; owner && c.stall != nil {
+			c.stall()
+		}
+		c.logLine("%s %s %v", name, e.Message, e.Fields)
 		return nil
 	}), Level: log.InfoLevel}
 	h.coordinator = New(Options{
-		Store: h.handle, Directory: testDirectory{}, Executors: hostClient{c.executors, h}, Machines: c.machines,
+		Store: h.handle, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, OwnsJobsUntil: func() time.Duration { return h.manager.OwnsJobsUntil() },
 		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
-		Retention: time.Minute,
+		Retention: c.retention,
 	})
 	h.manager = ownership.New(ownership.Options{
 		Store: h.handle, Holder: name, Address: name, Preference: 1, Now: c.now, Log: logger, Lead: h.coordinator.Lead,
@@ -311,7 +341,11 @@
 }
 
 func (c *cluster) submit(id string, steps ...workload.Step) {
-	value, err := json.Marshal(workload.Job{Route: "queue", Service: testService, ConfigVersion: 1, Steps: steps})
+	c.submitTo("queue", testService, id, steps...)
+}
+
+func (c *cluster) submitTo(route, service, id string, steps ...workload.Step) {
+	value, err := json.Marshal(workload.Job{Route: route, Service: service, ConfigVersion: 1, Steps: steps})
 	assert.NilError(c.t, err)
 	c.store.Put(rowstore.Key{Table: frontend.JobTable, Partition: frontend.SubmitPartition(id), Name: id}, value)
 }
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -38,6 +38,11 @@
 	// responseTime is the time from an order to its execution and response, slowExecutors holds that of executors that differ.
 	responseTime  time.Duration
 	slowExecutors map[string]time.Duration
+	// delays, clockRate and maxLease are as in network.go; replacedBy holds by ID the executor that has the address of an ended one.
+	delays     func(executor, order string) (request, response time.Duration)
+	clockRate  func() float64
+	maxLease   time.Duration
+	replacedBy map[string]string
 	// deliverAfterRestart is set if delayed orders reach the next incarnation of an executor.
 	deliverAfterRestart bool
 	// running holds the executor of each running task.
@@ -79,9 +84,14 @@
 	id         string
 	capacity   workload.Resources
 	bornUnixMS int64
+	// startedAt is when its clock started, if executors have separate clocks, and clockRate how fast that clock runs.
+	startedAt time.Time
+	clockRate float64
+	// refuses is set if the address refuses connections after a crash.
+	refuses bool
 	// fence is the highest fencing token seen.
 	fence uint64
-	// leaseDeadlineMS is when the lease expires, on the clock of clockMS.
+	// leaseDeadlineMS is when the lease expires, on the clock of clockOf.
 	leaseDeadlineMS int64
 	crashed         bool
 	unreachable     bool
@@ -114,7 +124,8 @@
 		executors: make(map[string]*executor), startedAt: time.Now(),
 		duration: func(workload.TaskID) (time.Duration, workload.End) { return 500 * time.Millisecond, workload.EndDone },
 		size:     workload.Resources{CPUMilli: 1000}, stopTime: defaultStopTime, responseTime: defaultResponseTime, slowExecutors: make(map[string]time.Duration),
-		running: make(map[workload.TaskID]string), acknowledgedDone: make(map[workload.TaskID]bool),
+		replacedBy: make(map[string]string),
+		running:    make(map[workload.TaskID]string), acknowledgedDone: make(map[workload.TaskID]bool),
 		startedLast: make(map[workload.TaskID]time.Time),
 	}
 }
@@ -171,7 +182,7 @@
 	}
 	f.record("%s starts", id)
 	f.executors[id] = &executor{
-		id: id, capacity: capacity, bornUnixMS: time.Now().UnixMilli(), nextEndNumber: 1,
+		id: id, capacity: capacity, bornUnixMS: time.Now().UnixMilli(), nextEndNumber: 1, startedAt: time.Now(), clockRate: f.nextClockRate(),
 		runs: make(map[workload.TaskID]*run), highestRun: make(map[workload.TaskID]int), changed: make(chan struct{}),
 	}
 }
@@ -274,7 +285,14 @@
 	if d, ok := f.slowExecutors[to.ID]; ok {
 		responseTime = d
 	}
+	delays, ended, replacement := f.delays, e != nil && e.crashed, f.executors[f.replacedBy[to.ID]]
 	f.mu.Unlock()
+	if delays != nil && fault == None {
+		return f.deliverWithDelays(ctx, to.ID, order, e, execute)
+	}
+	if ended && delays != nil {
+		return f.callEnded(ctx, e, order, replacement)
+	}
 	carryOut := func() session.Response {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -282,9 +300,9 @@
 		// An order names its executor by id only, so a delayed one may reach the next incarnation.
 		e := f.executors[to.ID]
 		if e.crashed || (e != addressed && !f.deliverAfterRestart) {
-			return session.Response{Result: session.OtherIncarnation, ClockMS: f.clockMS()}
+			return session.Response{Result: session.OtherIncarnation, ClockMS: f.clockOf(e)}
 		}
-		return session.Response{Result: execute(e), ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}
+		return f.response(e, execute(e))
 	}
 	switch fault {
 	case DropOrder:
@@ -295,7 +313,7 @@
 		<-ctx.Done()
 		return session.Response{}, session.ErrNoResponse
 	case Refuse:
-		return session.Response{Result: session.Unhealthy, ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS}, nil
+		return f.response(e, session.Unhealthy), nil
 	case SlowResponse:
 		resp := carryOut()
 		select {
@@ -333,7 +351,7 @@
 		if e.staleFence(o.Fence) {
 			return session.Fenced
 		}
-		if o.DeadlineMS <= f.clockMS() {
+		if o.DeadlineMS <= f.clockOf(e) {
 			return session.TooLate
 		}
 		f.extendLease(e, o.DeadlineMS)
@@ -400,6 +418,9 @@
 
 // extendLease extends the lease of an executor; it never shortens it. When the lease expires, all runs end with it.
 func (f *Fleet) extendLease(e *executor, deadline int64) {
+	if f.maxLease > 0 {
+		deadline = min(deadline, f.clockOf(e)+f.maxLease.Milliseconds())
+	}
 	if deadline <= e.leaseDeadlineMS {
 		return
 	}
@@ -407,7 +428,7 @@
 	if e.leaseTimer != nil {
 		e.leaseTimer.Stop()
 	}
-	e.leaseTimer = time.AfterFunc(time.Duration(deadline-f.clockMS())*time.Millisecond, func() {
+	e.leaseTimer = time.AfterFunc(time.Duration(float64(deadline-f.clockOf(e))*float64(time.Millisecond)/e.clockRate), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		e.leaseExpiries++
@@ -478,7 +499,11 @@
 			return workload.Report{}, "", session.ErrNoResponse
 		}
 	}
-	return f.report(ctx, exec)
+	report, result, err := f.report(ctx, exec)
+	if err == nil && !f.delayReport(ctx, exec) {
+		return workload.Report{}, "", session.ErrNoResponse
+	}
+	return report, result, err
 }
 
 // acknowledgeDone records that the completion in the first of the executor's ended tasks was acknowledged, and the violation if the
@@ -501,7 +526,7 @@
 		return workload.Report{}, "", session.ErrNoResponse
 	}
 	defer f.mu.Unlock()
-	r := workload.Report{ClockMS: f.clockMS(), BornUnixMS: e.bornUnixMS, Ended: append([]workload.EndedTask(nil), e.endedTasks...)}
+	r := workload.Report{ClockMS: f.clockOf(e), BornUnixMS: e.bornUnixMS, Ended: append([]workload.EndedTask(nil), e.endedTasks...)}
 	for task, x := range e.runs {
 		r.Running = append(r.Running, workload.RunningTask{Task: task, Run: x.number, Percent: f.percent(task, x)})
 	}
