Do not end an executor in contact because a list was made while it restarted

Cause: an order for a machine that had been carried out before is confirmed after the next executor has joined; verifyOrder then expects that executor on the machine. The list that verifies it is read while this executor starts again under its ID, so the list shows the machine as up and names none. verifyOrder took it for ended, although its reports had come meanwhile. Change: a machine that is up without an executor proves nothing; endUnlistedExecutors ends the executor if it stays unlisted without contact. Before: TestExecutorsThatAListLeavesOutWhileTheyRestartGoOn fails ("the owner is in contact with the executor"). After: it passes.

--- a/coordinator/machines_test.go
+++ b/coordinator/machines_test.go
@@ -36,3 +36,23 @@
 	_, known = l.executorRecords["new"]
 	assert.Assert(t, !known, "no list names it")
 }
+
+// Guards against taking an executor for ended, after which its tasks run twice, because it was starting again under its ID when the
+// list that verifies an order for its machine was made. The order had been carried out before the executor joined.
+func TestExecutorsThatAListLeavesOutWhileTheyRestartGoOn(t *testing.T) {
+	now := 10 * time.Second
+	l := newTestLeadership(t.Context(), func() time.Duration { return now })
+	l.core.PutExecutor(5*time.Second, workload.Executor{ID: "x", Service: "b"})
+	l.executorRecords["x"] = executorRecord{Address: "a", Service: "b"}
+	l.core.Report(now, "x", workload.Report{BornUnixMS: 2}, now, 0)
+	l.machines.confirmedAt["m"], l.machines.unverified["m"] = 9*time.Second, "x"
+	list := []workload.Machine{{ID: "m", Pool: "b", State: workload.MachineUp}}
+	l.handleMachineEvent(now, machineEvent{isList: true, list: list, sentAt: now - 100*time.Millisecond})
+	_, known := l.executorRecords["x"]
+	assert.Assert(t, known, "the owner is in contact with the executor")
+	l.core.LoseContact(now, "x", false)
+	now += time.Second
+	l.handleMachineEvent(now, machineEvent{isList: true, list: list, sentAt: now})
+	_, known = l.executorRecords["x"]
+	assert.Assert(t, !known, "no list names it, and it does not respond")
+}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -101,7 +101,8 @@
 		return
 	}
 	delete(l.machines.unverified, machine.ID)
-	if machine.State == workload.MachineUp && machine.Executor == id {
+	if machine.State == workload.MachineUp && (machine.Executor == id || machine.Executor == "") {
+		// An executor that is starting again under its ID is not listed meanwhile; endUnlistedExecutors ends it if it stays away.
 		l.core.Cordon(now, id, false)
 		return
 	}
