--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -249,19 +249,9 @@
 // newClusterWithClient does the same with hosts that call the executors through the client that wrap returns.
 func newClusterWithClient(t *testing.T, hosts, executors int, wrap func(*workers.Fleet) session.Client) *cluster {
 	c := prepareCluster(t, wrap)
-	config, _ := json.Marshal(workload.Configuration{
-		Version: 1, Services: []workload.Service{{Name: testService, ChecksCapacity: true}},
-		Routes: []workload.Route{{Name: "queue", Service: testService, Policy: workload.Policy{MaxAttempts: 3, SlackFactor: 2}}},
-	})
-	c.store.Put(rowstore.Key{Table: "operator", Name: "config"}, config)
+	c.configure()
 	for i := range executors {
-		id := fmt.Sprintf("x%d", i)
-		c.fleet.Add(id, capacity)
-		putExecutor(c.store, id, capacity)
-		machine := fmt.Sprintf("m%d", i)
-		c.machines.machines[machine] = workload.Machine{
-			ID: machine, Pool: testService, State: workload.MachineUp, Executor: id, Capacity: capacity,
-		}
+		c.addExecutor(fmt.Sprintf("x%d", i), fmt.Sprintf("m%d", i))
 	}
 	c.startHosts(hosts)
 	return c
@@ -276,6 +266,24 @@
 	return c
 }
 
+// configure stores a configuration with one pool and one queue.
+func (c *cluster) configure() {
+	config, _ := json.Marshal(workload.Configuration{
+		Version: 1, Services: []workload.Service{{Name: testService, ChecksCapacity: true}},
+		Routes: []workload.Route{{Name: "queue", Service: testService, Policy: workload.Policy{MaxAttempts: 3, SlackFactor: 2}}},
+	})
+	c.store.Put(rowstore.Key{Table: "operator", Name: "config"}, config)
+}
+
+// addExecutor starts an executor on a new machine.
+func (c *cluster) addExecutor(id, machine string) {
+	c.fleet.Add(id, capacity)
+	putExecutor(c.store, id, capacity)
+	c.machines.machines[machine] = workload.Machine{
+		ID: machine, Pool: testService, State: workload.MachineUp, Executor: id, Capacity: capacity,
+	}
+}
+
 func (c *cluster) startHosts(n int) {
 	for i := range n {
 		c.hosts = append(c.hosts, c.startHost(fmt.Sprintf("h%d", i)))
