Failing test: ends of an executor's next incarnation are acknowledged unseen

The owner believes to be in contact and starts a task there, which the new incarnation, without a fencing token yet, accepts and completes as its end 1. The response of the former incarnation lists its own end 1; once it is stored, the next hold carries LastSeen 1 under the old token, and the new incarnation forgets an end that nobody has seen: 'second.0.0.0 starts on x0 after its completion was acknowledged'. Calls name the ID only, but each response has a clock, and that of the accepted start went back by 3 s.

--- a/coordinator/restart_test.go
+++ b/coordinator/restart_test.go
@@ -92,3 +92,29 @@
 		assert.Assert(t, m.restarted)
 	})
 }
+
+// Guards against a task that starts again after its completion was acknowledged: an executor starts again under its ID while the response
+// to a hold is under way, runs a task, and the next hold acknowledges the ends of the former incarnation by their numbers.
+func TestEndsOfTheNextIncarnationAreNotAcknowledgedUnseen(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1)
+		c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 20 * time.Millisecond, workload.EndDone })
+		c.fleet.SeparateClocks(func() float64 { return 1 }, 6*time.Second)
+		c.fleet.SetDelays(func(_, order string) (request, response time.Duration) {
+			if order == "hold" {
+				return time.Millisecond, 300 * time.Millisecond
+			}
+			return time.Millisecond, time.Millisecond
+		})
+		time.Sleep(3 * time.Second)
+		c.submit("first", plainStep(1))
+		for starts := 0; starts == 0; starts, _ = c.fleet.Counts() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.fleet.Restart("x0")
+		c.submit("second", plainStep(1))
+		c.awaitAll([]string{"first", "second"}, workload.StatusCompleted, 30*time.Second)
+		c.checkViolations()
+	})
+}
