A list of machines does not outweigh a start that was sent after its request

Cause: a list of machines shows the moment at which it was read. An executor that was down then may start again under its ID and carry out an attempt to start a task before the owner handles the list, as the list is slow or the owner stalled. endUnlistedExecutors asked only how long contact had been lost when the list was requested. Change: the session knows when it sent its attempts. If one that was sent after the request of the list may have arrived, the list proves nothing and the next one decides. Attempts that were certainly not sent (refused connections) do not count. In a session with open starts and slow lists this may take until the leases have expired.

--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -122,6 +122,10 @@
 	}
 	for id := range l.executorRecords {
 		since, lost := l.core.NoContactSince(id)
+		if s := l.sessions[id]; s != nil && s.MayHaveStartedSince(sentAt) {
+			// It may have started again under its ID after the list was read, and have carried the order out.
+			continue
+		}
 		if lost && !listed[id] && sentAt > since+listMargin {
 			l.endExecutor(now, id)
 		}
--- a/session/orders.go
+++ b/session/orders.go
@@ -44,7 +44,7 @@
 		resp, err := Response{}, errNotOwner
 		if s.authorised() {
 			e.Attempts++
-			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
+			resp, err = s.attemptStart(tries, &o)
 		}
 		switch {
 		case err == nil && resp.Result == Accepted:
@@ -90,6 +90,34 @@
 	}
 }
 
+// MayHaveStartedSince reports whether an attempt to start a run that was sent at a time or later may have arrived.
+func (s *Session) MayHaveStartedSince(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sent := range s.startAttempts {
+		if sent >= at {
+			return true
+		}
+	}
+	return s.startSentAt >= at
+}
+
+// attemptStart makes an attempt to start a run.
+func (s *Session) attemptStart(tries int, o *StartOrder) (Response, error) {
+	sent := s.opts.Now()
+	s.mu.Lock()
+	s.startAttempts[o] = sent
+	s.mu.Unlock()
+	resp, err := s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, *o) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.startAttempts, o)
+	if !errors.Is(err, ErrNotSent) {
+		s.startSentAt = max(s.startSentAt, sent)
+	}
+	return resp, err
+}
+
 // errNotOwner means that an attempt was not made, because another process may own the executors by now.
 var errNotOwner = errors.Wrap(ErrNotSent, "ownership is not confirmed")
 
--- a/session/session.go
+++ b/session/session.go
@@ -125,6 +125,10 @@
 	// ambiguousStarts holds the starts with an unanswered attempt, which may still be carried out, and when it failed.
 	pendingStarts   map[runKey]chan struct{}
 	ambiguousStarts map[runKey]time.Duration
+	// startAttempts holds when each attempt in flight to start a run was sent; startSentAt is when the last completed one that may
+	// have arrived was sent.
+	startAttempts map[*StartOrder]time.Duration
+	startSentAt   time.Duration
 }
 
 // New starts a session, which ends with ctx or Close.
@@ -134,6 +138,7 @@
 		opts: opts, endpoint: endpoint, ctx: ctx, stop: stop,
 		wake: make(chan struct{}, 1), done: make(chan struct{}), lateResponses: make(chan holdResponse), holdWait: time.Second,
 		fence: opts.Tokens.next(), pendingStarts: make(map[runKey]chan struct{}), ambiguousStarts: make(map[runKey]time.Duration),
+		startAttempts: make(map[*StartOrder]time.Duration),
 	}
 	s.inheritedUntil = opts.Now() + maxElapsed(opts.InheritedLease) + expiryMargin
 	go s.run()
