--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -96,7 +96,7 @@
 
 // verifyOrder checks on a listed machine whether its confirmed order ended the executor. The service also confirms an order
 // that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that shows neither is
-// left to a later list.
+// left to a later list: an executor that starts again under its ID is not named meanwhile.
 func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
 	m := &l.machines
 	id, ok := m.unverified[machine.ID]
@@ -109,7 +109,7 @@
 	switch {
 	case up && named:
 		l.core.Cordon(now, id, false)
-	case named, machineEntry{machine.State, machine.Pool, machine.Executor}.excludes(x):
+	case machine.State != workload.MachineDown && (named || machineEntry{machine.State, machine.Pool, machine.Executor}.excludes(x)):
 		l.endExecutor(now, id, endEvidence{
 			reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt,
 		})
@@ -137,7 +137,12 @@
 		if !ok {
 			x = sighting{executor: id, pool: record.Service}
 		}
-		switch m.surveys.presenceOf(x, since) {
+		shown := m.surveys.presenceOf(x, since)
+		if s := l.sessions[id]; shown == ended && s != nil && s.MayHaveStartedSince(m.surveys.last.requestedAt) {
+			// It may have started again under its ID after the list was read, and have carried the order out.
+			shown = unconfirmed
+		}
+		switch shown {
 		case ended:
 			l.endExecutor(now, id, m.absenceEvidence(x))
 		case unconfirmed:
--- a/session/orders.go
+++ b/session/orders.go
@@ -46,7 +46,7 @@
 		// Once its deadline has passed, only an incarnation that the session does not know could accept the order.
 		if !(ambiguous && s.LeasesExpired()) && s.authorised() {
 			e.Attempts++
-			resp, err = s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, o) })
+			resp, err = s.attemptStart(tries, &o)
 		}
 		switch {
 		case err == nil && resp.Result == Accepted:
@@ -92,6 +92,34 @@
 	}
 }
 
+// MayHaveStartedSince reports whether an attempt to start a run that was sent at a time or later may have arrived.
+func (s *Session) MayHaveStartedSince(at time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sent := range s.startAttempts {
+		if sent >= at {
+			return true
+		}
+	}
+	return s.startSentAt >= at
+}
+
+// attemptStart makes an attempt to start a run.
+func (s *Session) attemptStart(tries int, o *StartOrder) (Response, error) {
+	sent := s.opts.Now()
+	s.mu.Lock()
+	s.startAttempts[o] = sent
+	s.mu.Unlock()
+	resp, err := s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, *o) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.startAttempts, o)
+	if !errors.Is(err, ErrNotSent) {
+		s.startSentAt = max(s.startSentAt, sent)
+	}
+	return resp, err
+}
+
 // errNotAttempted means that an attempt was not made, because another process may own the executors by now or the order has expired.
 var errNotAttempted = errors.Wrap(ErrNotSent, "ownership is not confirmed or the order has expired")
 
