Acknowledge nothing to an incarnation whose ends are not known

What callers saw (in a test; the class of a task that starts again after its completion was acknowledged): the work of a task ran again. Cause: an executor starts again under its ID while the response to a hold is under way. The session learns of it from the clock in a response to an order, but the response of the former incarnation cleared that, and the next hold acknowledged its ends by number: the new incarnation numbers its ends anew, and forgot one that nobody had seen. Change: an unnoticed restart is over with a report that was requested after it was recorded, or that comes from another incarnation. Until then a hold acknowledges nothing.

--- a/session/hold.go
+++ b/session/hold.go
@@ -58,7 +58,7 @@
 	s.mu.Lock()
 	inContact, wait := s.inContact, s.holdWait
 	ackedEnd, fence := s.ackedEnd, s.fence
-	if !inContact || s.unanswered {
+	if !inContact || s.unanswered || s.unnoticedRestartAt != 0 {
 		// Without contact no deadline is sent, so that the leases can expire. Nothing is acknowledged, because the executor may
 		// be a new incarnation, which numbers its ended runs anew.
 		wait, ackedEnd = 0, 0
@@ -162,7 +162,10 @@
 		s.opts.Losses.record(s.endpoint.ID, now)
 	}
 	s.incarnation, s.inContact, s.unanswered = r.BornUnixMS, true, false
-	s.clockMS, s.clockAt, s.reportSentAt, s.unnoticedRestart = r.ClockMS, now, sent, false
+	s.clockMS, s.clockAt, s.reportSentAt = r.ClockMS, now, sent
+	if restarted || sent >= s.unnoticedRestartAt {
+		s.unnoticedRestartAt = 0
+	}
 	r.Ended = s.takeNewEnds(r.Ended)
 	lastEnd := s.lastEnd
 	known := make(map[runKey]bool, len(r.Running))
--- a/session/session.go
+++ b/session/session.go
@@ -105,8 +105,9 @@
 	clockAt time.Duration
 	// reportSentAt is when that report was requested.
 	reportSentAt time.Duration
-	// unnoticedRestart is set if a response to an order came from another incarnation than the last report.
-	unnoticedRestart bool
+	// unnoticedRestartAt is when a response to an order came from another incarnation than the last report, until a report that is requested
+	// later; 0 otherwise.
+	unnoticedRestartAt time.Duration
 	// unconfirmedAt is when an order with a deadline was last left unanswered, or answered by another incarnation than that of the
 	// last report. Such an order may extend the leases of an incarnation that the session does not know.
 	unconfirmedAt time.Duration
@@ -206,7 +207,7 @@
 		left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
 		at = max(at, s.clockAt+MaxLeaseDuration(left))
 	}
-	if s.unnoticedRestart {
+	if s.unnoticedRestartAt != 0 {
 		at = max(at, s.unnoticedLeasesExpireAt())
 	}
 	return at
@@ -266,5 +267,5 @@
 	case !named && resp.ClockMS >= r.minMS && resp.ClockMS <= maxMS:
 		return
 	}
-	s.unnoticedRestart, s.unconfirmedAt = true, now
+	s.unnoticedRestartAt, s.unconfirmedAt = now, now
 }
