End the session of a silent executor in one step with the check that nothing was started

Change: the check and the end happen under the lock under which attempts begin, so that no attempt follows. Test: TestNothingStartsAfterASessionHasEndedAsIdle.

--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -138,7 +138,7 @@
 			x = sighting{executor: id, pool: record.Service}
 		}
 		shown := m.surveys.presenceOf(x, since)
-		if s := l.sessions[id]; shown == ended && s != nil && s.MayHaveStartedSince(m.surveys.last.requestedAt) {
+		if s := l.sessions[id]; shown == ended && s != nil && !s.CloseUnlessStartedSince(m.surveys.last.requestedAt) {
 			// It may have started again under its ID after the list was read, and have carried the order out.
 			shown = unconfirmed
 		}
--- a/session/orders.go
+++ b/session/orders.go
@@ -92,22 +92,31 @@
 	}
 }
 
-// MayHaveStartedSince reports whether an attempt to start a run that was sent at a time or later may have arrived.
-func (s *Session) MayHaveStartedSince(at time.Duration) bool {
+// CloseUnlessStartedSince ends the session, unless an attempt to start a run that was sent at a time or later may have arrived. It reports
+// whether the session has ended; no attempt is sent then.
+func (s *Session) CloseUnlessStartedSince(at time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sent := range s.startAttempts {
 		if sent >= at {
-			return true
+			return false
 		}
 	}
-	return s.startSentAt >= at
+	if s.startSentAt >= at {
+		return false
+	}
+	s.stop()
+	return true
 }
 
-// attemptStart makes an attempt to start a run.
+// attemptStart makes an attempt to start a run, unless the session has ended.
 func (s *Session) attemptStart(tries int, o *StartOrder) (Response, error) {
-	sent := s.opts.Now()
 	s.mu.Lock()
+	if s.ctx.Err() != nil {
+		s.mu.Unlock()
+		return Response{}, errNotAttempted
+	}
+	sent := s.opts.Now()
 	s.startAttempts[o] = sent
 	s.mu.Unlock()
 	resp, err := s.attempt(tries, func(ctx context.Context) (Response, error) { return s.opts.Client.Start(ctx, s.endpoint, *o) })
@@ -120,8 +129,9 @@
 	return resp, err
 }
 
-// errNotAttempted means that an attempt was not made, because another process may own the executors by now or the order has expired.
-var errNotAttempted = errors.Wrap(ErrNotSent, "ownership is not confirmed or the order has expired")
+// errNotAttempted means that an attempt was not made, because another process may own the executors by now, the order has expired, or the
+// session has ended.
+var errNotAttempted = errors.Wrap(ErrNotSent, "ownership is not confirmed, the order has expired, or the session has ended")
 
 // isFinal reports whether the executor refuses all attempts of the same order that arrive after this result.
 func (r Result) isFinal() bool { return r == TooLate || r == Fenced }
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -28,6 +28,8 @@
 	// continues makes Options.MayContinue return true without ownership.
 	continues atomic.Bool
 	lag       atomic.Int64
+	// now is Options.Now.
+	now func() time.Duration
 }
 
 // maxLease is the longest lease that the simulated executor grants.
@@ -42,6 +44,7 @@
 	h := &harness{fleet: workers.New(), owns: true}
 	h.fleet.Add("x", workload.Resources{CPUMilli: 4000})
 	began := time.Now()
+	h.now = func() time.Duration { return time.Since(began) }
 	ctx, cancel := context.WithCancel(context.Background())
 	owns := func() bool {
 		h.mu.Lock()
@@ -51,7 +54,7 @@
 	h.mu.Lock()
 	h.session = session.New(ctx, session.Endpoint{ID: "x"}, session.Options{
 		Client: wrap(h.fleet), Tokens: session.NewTokens(1), Lease: session.DefaultLease, InheritedLease: session.DefaultLease, MaxLease: maxLease,
-		Now: func() time.Duration { return time.Since(began) }, Owns: owns,
+		Now: h.now, Owns: owns,
 		MayContinue: func() bool { return owns() || h.continues.Load() },
 		Losses:      session.NewLossMonitor(), LateHolds: &session.LateHolds{}, Lag: func() time.Duration { return time.Duration(h.lag.Load()) },
 		Emit: func(e session.Event) {
@@ -685,3 +688,24 @@
 		assert.Equal(t, len(h.fleet.Running()["x"]), 1, "history: %v", h.fleet.History())
 	})
 }
+
+// Guards against a start that is sent between the check that nothing may run on a silent executor and the end of its session: the executor
+// carries it out, and the task starts elsewhere too.
+func TestNothingStartsAfterASessionHasEndedAsIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		listedAt := h.now()
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, !h.session.CloseUnlessStartedSince(listedAt), "a start was sent since")
+		h.session.Start(order(2))
+		time.Sleep(time.Second)
+		starts, _ := h.fleet.Counts()
+		assert.Equal(t, starts, 2, "the session goes on")
+		assert.Assert(t, h.session.CloseUnlessStartedSince(h.now()))
+		h.session.Start(order(3))
+		time.Sleep(time.Second)
+		starts, _ = h.fleet.Counts()
+		assert.Equal(t, starts, 2)
+	})
+}
