--- a/scheduler/unwanted_test.go
+++ b/scheduler/unwanted_test.go
@@ -69,3 +69,40 @@
 	h.runCommands()
 	assert.Equal(t, len(h.stops), 2, "no stop reaches the new incarnation")
 }
+
+// Guards against more than the cap of an organisation: runs of a job that a former owner cancelled still stop on an executor that has reported.
+func TestStoppingRunsOfFinalInheritedJobsCountTowardsTheCap(t *testing.T) {
+	h := newHarness(t, 0)
+	h.core.Configure(h.now, &workload.Configuration{
+		Version: 2, Services: []workload.Service{{Name: service, ChecksCapacity: true}},
+		Routes:        []workload.Route{{Name: "queue", Service: service, Policy: workload.Policy{MaxAttempts: 2, SlackFactor: 2, Objective: 500}}},
+		Organisations: []workload.Organisation{{Name: "o", Cap: workload.Resources{CPUMilli: 3000}}},
+	})
+	h.core.AddUnreconciled(h.now, "x0", service, nil)
+	spec := &workload.Job{ID: "old", Route: "queue", Service: service, ConfigVersion: 1, Organisation: "o", Steps: []workload.Step{batchStep(1, 3000)}}
+	assert.NilError(t, h.core.AddJob(h.now, spec, &Record{Status: workload.StatusCancelled}, 1, true))
+	h.addExecutor("x1", size)
+	h.addJobFor("o", "new", batchStep(1, 3000))
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 0, "the unreconciled executor may run 3 cores of the organisation")
+	h.running["x0"] = map[workload.TaskID]workload.RunningTask{taskID("old", 0, 0): {Task: taskID("old", 0, 0), Run: 1}}
+	h.core.PutExecutor(h.now, workload.Executor{ID: "x0", Service: service, Capacity: size, Kind: "a", Rack: "r"})
+	h.report("x0")
+	assert.Equal(t, len(h.stops), 1)
+	assert.Equal(t, len(h.starts), 0, "starts: %v while the run on x0 stops", h.starts)
+}
+
+// Guards against a job that fails although its task may never have run: an executor restarts twice within a poll while a start is unclear.
+func TestUnclearStartsAreNotBlamedForASecondRestart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob("j", batchStep(1, 3000))
+	h.core.Schedule(h.now, h.now)
+	start := h.core.Commands()[0].(StartTask)
+	h.now += 100 * time.Millisecond
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
+	h.now += 100 * time.Millisecond
+	h.core.Started(h.now, "x0", start.Task, start.Run, StartUnclear, "unclear")
+	h.now += time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 3}, h.now-time.Millisecond, 0)
+	assert.Equal(t, h.core.jobs["j"].status, workload.StatusQueued, "crashes: %+v", h.core.jobs["j"].occs[0].steps[0].tasks[0].crashes)
+}
