Count the crash of a silent executor once

Cause: the expiry of the leases of an executor is reported every 250 ms until it responds. Each time a crash was counted against the one task whose start was still open there: crashes 1 at 39.04 s, crashes 2 at 39.29 s, job failed. Ruled out: a task that crashes its executors; both counts are of one silence of i-d185355202. Change: a crash counts once for each time of silence. Before: TestACrashCountsOnceWhileAStartIsOpen, failed instead of queued. After: it passes.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -85,6 +85,14 @@
 	return e.noContactSince, e.refused
 }
 
+// recordCrashOfSilent counts the crash of an executor without contact, once for each time of silence.
+func (c *Core) recordCrashOfSilent(now time.Duration, e *executor) {
+	if at, ok := e.crashTime(); ok && !e.inContact && !e.crashRecorded {
+		e.crashRecorded = true
+		c.recordCrash(now, e, at)
+	}
+}
+
 // recordCrash counts the crash of an executor at a time against the tasks on it that may be its cause. Their runs are gone, but they are
 // still placed. An executor that was leaving has not crashed.
 func (c *Core) recordCrash(now time.Duration, e *executor, at time.Duration) {
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -299,3 +299,19 @@
 	}
 	assert.Assert(t, beside > 0)
 }
+
+// Guards against a job that fails for one crash: the expiry of the leases is reported again and again while the outcome of a start is not known.
+func TestACrashCountsOnceWhileAStartIsOpen(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob("j", batchStep(1, 1000))
+	h.core.Schedule(h.now, h.now)
+	h.core.LoseContact(h.now+100*time.Millisecond, "x0", true)
+	for range 5 {
+		h.now += 10 * time.Second
+		h.core.ExpireLeases(h.now, "x0")
+	}
+	h.core.EndExecutor(h.now, "x0")
+	j := h.core.jobs["j"]
+	assert.Equal(t, j.status, workload.StatusQueued)
+	assert.Equal(t, j.occs[0].steps[0].tasks[0].crashes.recent, 1)
+}
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -135,9 +135,7 @@
 	if e == nil {
 		return
 	}
-	if at, ok := e.crashTime(); ok && !e.inContact {
-		c.recordCrash(now, e, at)
-	}
+	c.recordCrashOfSilent(now, e)
 	for t := range e.tasks {
 		c.addDecision(t.id.String(), "run ended with its executor", e.silenceFields(now, t))
 		c.requeue(now, t, lossExecutorEnded)
@@ -206,9 +204,7 @@
 	}
 	c.markReconciled(id)
 	c.setUnwantedRuns(now, e, 0)
-	if at, ok := e.crashTime(); ok && !e.inContact {
-		c.recordCrash(now, e, at)
-	}
+	c.recordCrashOfSilent(now, e)
 	for t := range e.tasks {
 		if t.state == taskStarting {
 			// The start order may still be carried out; its own outcome shows when that is over.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -12,6 +12,8 @@
 func (c *Core) Report(now time.Duration, id string, r workload.Report, sentAt time.Duration, lastEnd int64) {
 	e := c.executor(now, id)
 	crashedAt, crashTimeKnown := e.crashTime()
+	crashTimeKnown = crashTimeKnown && !e.crashRecorded
+	e.crashRecorded = false
 	if e.reported && !e.inContact {
 		c.addDecision(id, "executor reports again", map[string]any{
 			"silent_ms": (now - e.noContactSince).Milliseconds(), "running": len(r.Running), "ended": len(r.Ended),
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -265,6 +265,8 @@
 	cordonExpected bool
 	// refused is set if the executor refused connections when contact was lost, so that its process had ended.
 	refused bool
+	// crashRecorded is set once recordCrash has counted the crash of the executor, until it reports again.
+	crashRecorded bool
 	// suspect is the last suspect that was started on the executor; see testsSuspect.
 	suspect *task
 	// backoffUntil is until when the executor gets no new tasks after it refused a start.
