Attempts of a start do not put off the expiry of unnoticed leases

Cause: after a response that shows an unnoticed restart, leases last for a time after the last unanswered order; the attempts of an open start went on until the leases had expired, so at an executor that stays silent and listed they put the expiry off for good, and the task waited for good (LOST). Change: attempts end when the leases that the session knows of have expired. A response of another executor at the address (421) is no sign of a restart. Before: TestAttemptsDoNotPutOffTheExpiryOfUnnoticedLeases has no outcome after 40 s. After: 'expired', and the leases expire.

--- a/session/orders.go
+++ b/session/orders.go
@@ -44,7 +44,7 @@
 	for tries := 1; ; tries++ {
 		resp, err := Response{}, errNotAttempted
 		// Once its deadline has passed, only an incarnation that the session does not know could accept the order.
-		if !(ambiguous && s.LeasesExpired()) && s.authorised() {
+		if !(ambiguous && s.knownLeasesExpired()) && s.authorised() {
 			e.Attempts++
 			resp, err = s.attemptStart(tries, &o)
 		}
--- a/session/session.go
+++ b/session/session.go
@@ -202,17 +202,30 @@
 func (s *Session) leasesExpireAt() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.inheritedUntil
-	if s.maxDeadlineMS != 0 {
-		left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
-		at = max(at, s.clockAt+MaxLeaseDuration(left))
-	}
+	at := s.knownLeasesExpireAt()
 	if s.unnoticedRestartAt != 0 {
 		at = max(at, s.unnoticedLeasesExpireAt())
 	}
 	return at
 }
 
+// knownLeasesExpireAt returns when all leases have certainly expired that incarnations of the executor that the session knows may have
+// granted. The caller holds the lock.
+func (s *Session) knownLeasesExpireAt() time.Duration {
+	if s.maxDeadlineMS == 0 {
+		return s.inheritedUntil
+	}
+	left := time.Duration(s.maxDeadlineMS-s.clockMS) * time.Millisecond
+	return max(s.inheritedUntil, s.clockAt+MaxLeaseDuration(left))
+}
+
+// knownLeasesExpired reports whether they have expired.
+func (s *Session) knownLeasesExpired() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opts.Now() >= s.knownLeasesExpireAt()
+}
+
 // unnoticedLeasesExpireAt returns when all leases have certainly expired that an incarnation of the executor that the session does not
 // know may have granted. A deadline on the clock of the former incarnation is no limit there. The caller holds the lock.
 func (s *Session) unnoticedLeasesExpireAt() time.Duration {
@@ -262,6 +275,9 @@
 	switch {
 	case resp.ClockMS == 0 || r.incarnation == 0 || r.incarnation != s.incarnation:
 		return
+	case resp.Result == OtherIncarnation:
+		// Another executor has the address.
+		return
 	case named && resp.BornUnixMS == r.incarnation:
 		return
 	case !named && resp.ClockMS >= r.minMS && resp.ClockMS <= maxMS:
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -709,3 +709,30 @@
 		assert.Equal(t, starts, 2)
 	})
 }
+
+// Guards against a task that waits for good: the attempts of a start at a silent executor put off the time at which nothing can run there any more.
+func TestAttemptsDoNotPutOffTheExpiryOfUnnoticedLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.fleet.SeparateClocks(func() float64 { return 1 }, maxLease)
+		time.Sleep(2 * time.Second)
+		silent := false
+		h.fleet.SetFault(func(_, order string) workers.Fault {
+			if order == "hold" || silent {
+				return workers.DropOrder
+			}
+			return workers.None
+		})
+		h.fleet.Restart("x")
+		h.session.Start(order(1))
+		time.Sleep(50 * time.Millisecond)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted})
+		silent = true
+		second := order(1)
+		second.Task.Job = "second"
+		h.session.Start(second)
+		time.Sleep(40 * time.Second)
+		assert.DeepEqual(t, h.started(), []session.Result{session.Accepted, session.Expired})
+		assert.Assert(t, h.count(session.LeasesExpired{}) > 0)
+	})
+}
