A job does not fail for crashes while its task runs on the next incarnation

Run 1003 of its task started on x0 at 10.799 s; the first report of the next incarnation of x0, which lists that run, came at 11.030 s, and the crash of the former one was the second counted against it. Cause: all runs placed on the executor may be blamed for the crash, also one that the next incarnation has started itself and runs. Change: the crash still counts, so that the task is watched, but the job does not fail by it while the run goes on. Before: TestRunsOfTheNextIncarnationAreNotBlamedForTheCrash, failed instead of queued. After: it passes.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -89,13 +89,14 @@
 func (c *Core) recordCrashOfSilent(now time.Duration, e *executor) {
 	if at, ok := e.crashTime(); ok && !e.inContact && !e.crashRecorded {
 		e.crashRecorded = true
-		c.recordCrash(now, e, at)
+		c.recordCrash(now, e, at, nil)
 	}
 }
 
 // recordCrash counts the crash of an executor at a time against the tasks on it that may be its cause. Their runs are gone, but they are
-// still placed. An executor that was leaving has not crashed.
-func (c *Core) recordCrash(now time.Duration, e *executor, at time.Duration) {
+// still placed. listed holds the runs that the next incarnation has started, if there is one; their jobs do not fail while these go on. An
+// executor that was leaving has not crashed.
+func (c *Core) recordCrash(now time.Duration, e *executor, at time.Duration, listed map[workload.TaskID]int) {
 	if e.cordoned || e.info.Draining || len(e.tasks) == 0 {
 		return
 	}
@@ -112,7 +113,7 @@
 			"executor": e.info.ID, "run": t.run, "crashes": t.crashes.recent, "possible_causes": len(causes),
 		})
 	}
-	if len(causes) == 1 && causes[0].crashes.recent >= maxCrashes && !causes[0].job.status.Final() {
+	if len(causes) == 1 && causes[0].crashes.recent >= maxCrashes && !causes[0].job.status.Final() && listed[causes[0].id] != causes[0].run {
 		c.finish(now, causes[0].job, workload.StatusFailed)
 		c.addFailureDecision(now, causes[0], len(causes[0].failedRuns))
 	}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -315,3 +315,18 @@
 	assert.Equal(t, j.status, workload.StatusQueued)
 	assert.Equal(t, j.occs[0].steps[0].tasks[0].crashes.recent, 1)
 }
+
+// Guards against a job that fails because of crashes that its task did not see: the next incarnation of the executor runs the task.
+func TestRunsOfTheNextIncarnationAreNotBlamedForTheCrash(t *testing.T) {
+	h := newHarness(t, 1)
+	h.addJob("j", batchStep(1, 1000))
+	h.core.Schedule(h.now, h.now)
+	start := h.core.Commands()[0].(StartTask)
+	h.core.Started(h.now, "x0", start.Task, start.Run, StartAccepted, "")
+	for born := int64(2); born < 5; born++ {
+		h.now += 100 * time.Millisecond
+		running := []workload.RunningTask{{Task: start.Task, Run: start.Run}}
+		h.core.Report(h.now, "x0", workload.Report{BornUnixMS: born, Running: running}, h.now-time.Millisecond, 0)
+	}
+	assert.Equal(t, h.core.jobs["j"].status, workload.StatusQueued)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -43,7 +43,7 @@
 		c.handleEnded(now, e, x)
 	}
 	if restarted && crashTimeKnown {
-		c.recordCrash(now, e, crashedAt)
+		c.recordCrash(now, e, crashedAt, present)
 	}
 	c.acquit(now, e)
 	for t := range e.tasks {
