review: bed2 checks starts and plays searches

The chaos and gangs searches play jobs of all kinds beside random disturbances and check each start for TWICE, ORDER, ROUTE and UNASKED.

--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -56,7 +56,7 @@
 	fleet    *fleet
 	folder   string
 	nodes    []*node
-	queues   []queue
+	version  int
 	trouble  bool
 	mu       sync.Mutex
 	jobs     []*job
@@ -254,7 +254,7 @@
 
 // configure writes the manifest with a queue for each service.
 func (b *bed) configure(queues ...queue) {
-	b.queues = queues
+	b.version += 7
 	routes, services, seen := []any{}, []any{}, map[string]bool{}
 	for _, q := range queues {
 		route := map[string]any{
@@ -273,7 +273,7 @@
 		}
 	}
 	b.store.put("op", "config", map[string]any{
-		"Version": 7, "Routes": routes, "Services": services, "Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144},
+		"Version": b.version, "Routes": routes, "Services": services, "Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144},
 	})
 }
 
--- a/review/bed2/cases.go
+++ b/review/bed2/cases.go
@@ -9,7 +9,7 @@
 // cases are the scripts by name. Each returns the number of breaches.
 var cases = map[string]func(*bed) (int, error){
 	"checkpoints": checkpoints, "schedule": schedule, "gang": gangCrash, "advice": adviceOfMany, "occurrences": occurrences,
-	"crashes": crashes, "block": adviceBlocks, "hopeless": hopelessGang,
+	"crashes": crashes, "chaos": chaos, "gangs": gangs, "grey": greyGang, "ends": unlistedEnds, "block": adviceBlocks, "hopeless": hopelessGang,
 }
 
 var (
@@ -274,3 +274,53 @@
 	}
 	return b.judge(), nil
 }
+
+// unlistedEnds: many small work items end while the store is down, so that executors hold more ends than they list at a time.
+func unlistedEnds(b *bed) (int, error) {
+	b.fleet.checks = true
+	if err := b.begin(9, lookups, batches); err != nil {
+		return 0, err
+	}
+	j := b.submitPlain(batches, work{MS: 6000, Uneven: 30, CPU: 20, Memory: 32}, 3000)
+	if j == nil {
+		return 0, fmt.Errorf("the large job is not accepted")
+	}
+	time.Sleep(4 * time.Second)
+	if b.trouble {
+		b.record.line("the store is down")
+		b.store.down.Store(true)
+		time.Sleep(4 * time.Second)
+		b.store.down.Store(false)
+		b.record.line("the store is back")
+	}
+	time.Sleep(12 * time.Second)
+	return b.judge() + len(b.fleet.breaches), nil
+}
+
+// greyGang: one executor fails all that it starts, among that a gang.
+func greyGang(b *bed) (int, error) {
+	if err := b.begin(9, lookups, batches); err != nil {
+		return 0, err
+	}
+	var e *executor
+	if b.trouble {
+		first := b.fleet.executorIDs()[0]
+		for _, m := range b.fleet.machines {
+			if m.executor.id == first {
+				e = m.executor
+			}
+		}
+		b.record.line("executor %s fails all that it starts", first)
+		e.setGrey(true)
+	}
+	if b.submitPlain(batches, work{MS: 3000, CPU: 1000, Memory: 512, Gang: 6}, 6) == nil {
+		return 0, fmt.Errorf("the gang is not accepted")
+	}
+	time.Sleep(6 * time.Second)
+	if e != nil {
+		e.setGrey(false)
+		b.record.line("executor %s is sound again", e.id)
+	}
+	time.Sleep(6 * time.Second)
+	return b.judge(), nil
+}
--- a/review/bed2/executor.go
+++ b/review/bed2/executor.go
@@ -23,6 +23,7 @@
 	maxHoldWait        = 2 * time.Second
 	executorCPU        = 16000
 	executorMemory     = 32768
+	greyTime           = 300 * time.Millisecond
 	executorTick       = 20 * time.Millisecond
 	maxListedEnds      = 500
 )
@@ -33,6 +34,11 @@
 	// Gang is the size of a gang.
 	MS, Uneven, CPU, Memory, Gang int
 	Checkpoints, Advice           bool
+	// Steps tells the same for each step of the job; it replaces the rest if there is any.
+	Steps []work `json:",omitempty"`
+	// After and Spread are as in the job, for the checks.
+	After  []int `json:",omitempty"`
+	Spread int   `json:",omitempty"`
 }
 
 // executor is one life of an executor.
@@ -55,6 +61,13 @@
 	lastEnd  int64
 	changed  chan struct{}
 	sequence int
+	// dark is set while it neither answers nor reports, though its work goes on. late is the share of the orders that get no answer
+	// and are carried out late. lapses counts how often its lease ran out.
+	dark bool
+	// grey is set while it fails all that it starts.
+	grey   bool
+	late   float64
+	lapses int
 }
 
 // run is one run of a work item.
@@ -71,6 +84,7 @@
 }
 
 type end struct {
+	lapses     int
 	n          int64
 	task       string
 	run        int
@@ -112,6 +126,17 @@
 		if !alive {
 			return
 		}
+		e.mu.Lock()
+		dark := e.dark
+		e.mu.Unlock()
+		if dark {
+			if !reported.IsZero() && time.Since(reported) > 3*heartbeat {
+				reported = time.Time{}
+				e.fleet.store.remove("servers", e.id)
+			}
+			time.Sleep(executorTick)
+			continue
+		}
 		if time.Since(reported) >= heartbeat {
 			reported = time.Now()
 			e.report()
@@ -152,6 +177,7 @@
 // advance ends what is due. The caller holds e.mu.
 func (e *executor) advance(now time.Time) {
 	if len(e.runs) > 0 && e.clock() >= e.deadline {
+		e.lapses++
 		for _, r := range e.runs {
 			e.finish(r, "lapsed")
 		}
@@ -161,6 +187,8 @@
 		switch {
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
 			e.finish(r, "stopped")
+		case e.grey && now.Sub(r.startedAt) > greyTime && (r.work.Gang == 0 || e.fleet.gangState(r, now) != "alone"):
+			e.finish(r, "failed")
 		case r.work.Gang > 0:
 			e.advanceGang(r, now)
 		case r.done(now) >= r.total():
@@ -214,7 +242,7 @@
 	delete(e.runs, r.task)
 	e.highest[r.task] = max(e.highest[r.task], r.number)
 	e.lastEnd++
-	e.ends = append(e.ends, end{e.lastEnd, r.task, r.number, how, r.checkpoint})
+	e.ends = append(e.ends, end{e.lapses, e.lastEnd, r.task, r.number, how, r.checkpoint})
 	e.fleet.left(e, r, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -247,6 +275,17 @@
 		e.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
+	if e.dark {
+		e.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if (r.URL.Path == "/run-start" || r.URL.Path == "/run-stop") && rand.Float64() < e.late {
+		e.mu.Unlock()
+		e.carryOutLate(r.URL.Path, o)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if o.FencingToken < e.fence {
 		e.mu.Unlock()
 		e.refuse(w, "fence")
@@ -299,6 +338,10 @@
 	if err := json.Unmarshal([]byte(o.Spec), &x.work); err != nil {
 		return "room"
 	}
+	if len(x.work.Steps) > 0 {
+		step, _ := strconv.Atoi(x.step[strings.LastIndex(x.step, ".")+1:])
+		x.work = x.work.Steps[step]
+	}
 	cpu, memory := x.work.CPU, x.work.Memory
 	for _, y := range e.runs {
 		cpu, memory = cpu+y.work.CPU, memory+y.work.Memory
@@ -325,15 +368,38 @@
 	return ""
 }
 
+// carryOutLate carries an order out 2 to 12 s later; nobody gets the answer.
+func (e *executor) carryOutLate(path string, o order) {
+	time.AfterFunc(2*time.Second+time.Duration(rand.Int64N(int64(10*time.Second))), func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !e.alive || o.FencingToken < e.fence {
+			return
+		}
+		e.fence = o.FencingToken
+		if path == "/run-stop" {
+			e.halt(o)
+			return
+		}
+		reason := e.begin(o)
+		e.fleet.record.line("late start of %s/%d on %s: %q", o.Task, o.RunId, e.id, reason)
+	})
+}
+
+// halt begins to stop a run. The caller holds e.mu.
+func (e *executor) halt(o order) {
+	e.highest[o.Task] = max(e.highest[o.Task], o.RunId)
+	if x := e.runs[o.Task]; x != nil && x.number <= o.RunId && x.stopAt.IsZero() {
+		x.stopAt = time.Now().Add(stopTime)
+	}
+}
+
 func (e *executor) stop(w http.ResponseWriter, r *http.Request) {
 	o, ok := e.accept(w, r)
 	if !ok {
 		return
 	}
-	e.highest[o.Task] = max(e.highest[o.Task], o.RunId)
-	if x := e.runs[o.Task]; x != nil && x.number <= o.RunId && x.stopAt.IsZero() {
-		x.stopAt = time.Now().Add(stopTime)
-	}
+	e.halt(o)
 	e.mu.Unlock()
 	e.ok(w)
 }
@@ -355,11 +421,11 @@
 		e.extend(o.DeadlineMs)
 	}
 	for len(e.ends) > 0 && e.ends[0].n <= o.LastSeen {
-		e.fleet.noted(e.ends[0])
+		e.fleet.noted(e.ends[0], e.lapses)
 		e.ends = e.ends[1:]
 	}
 	deadline := time.After(min(time.Duration(o.WaitMs)*time.Millisecond, maxHoldWait))
-	for waiting := true; waiting && len(e.ends) == 0 && e.alive; {
+	for waiting := true; waiting && len(e.ends) == 0 && e.alive && !e.dark; {
 		changed := e.changed
 		e.mu.Unlock()
 		select {
@@ -371,7 +437,7 @@
 		}
 		e.mu.Lock()
 	}
-	if !e.alive {
+	if !e.alive || e.dark {
 		e.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
--- a/review/bed2/fleet.go
+++ b/review/bed2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
@@ -44,6 +45,19 @@
 	waves   map[int]map[string]bool
 	// unnoted counts the ends that no owner has taken note of.
 	unnoted int
+	// checks is set if starts are checked; breaches holds what the checks found.
+	checks   bool
+	breaches []string
+	live     map[string]map[string]bool
+	// notedDone holds the work items of which an end as done was taken note of, startedSince the start after a run that ended so.
+	notedDone    map[string]bool
+	alone        int
+	startedSince map[string]string
+	cancelledAt  map[string]time.Time
+	// doneRuns holds the runs of a work item that ended as done.
+	doneRuns map[string][]int
+	// counts holds the number of work items of each step, by job.
+	counts map[string][]int
 }
 
 type gangKey struct {
@@ -60,6 +74,8 @@
 func newFleet(host string, s *store, r *record) *fleet {
 	return &fleet{
 		host: host, store: s, record: r, advice: &advice{tickets: make(map[string]time.Time)}, gangs: make(map[gangKey]*gang),
+		live: make(map[string]map[string]bool), notedDone: make(map[string]bool), startedSince: make(map[string]string),
+		cancelledAt: make(map[string]time.Time), counts: make(map[string][]int), doneRuns: make(map[string][]int),
 		running: make(map[string]int), done: make(map[string]map[string]bool), waves: make(map[int]map[string]bool),
 	}
 }
@@ -84,6 +100,7 @@
 	f.usedCPU += r.work.CPU
 	f.starts++
 	f.record.line("run %s/%d starts on %s", r.task, r.number, e.id)
+	f.check(e, r)
 	if r.work.Gang > 0 {
 		key := gangKey{r.step, r.number}
 		if f.gangs[key] == nil {
@@ -105,6 +122,9 @@
 	job := jobOf(r.task)
 	f.running[job]--
 	f.usedCPU -= r.work.CPU
+	if how == "alone" && f.cancelledAt[job].IsZero() {
+		f.alone++
+	}
 	if how != "lost" {
 		f.unnoted++
 	}
@@ -113,7 +133,12 @@
 			f.done[job] = make(map[string]bool)
 		}
 		f.done[job][r.task] = true
+		f.doneRuns[r.task] = append(f.doneRuns[r.task], r.number)
+		for i := range r.work.Gang {
+			f.done[job][fmt.Sprintf("%s.%d", r.step, i)] = true
+		}
 	}
+	delete(f.live[r.task], e.id)
 	f.record.line("run %s/%d ends on %s: %s", r.task, r.number, e.id, how)
 	if g := f.gangs[gangKey{r.step, r.number}]; g != nil && g.ended == "" {
 		g.ended = "broken"
@@ -123,11 +148,87 @@
 	}
 }
 
-// noted counts an end that an owner took note of.
-func (f *fleet) noted(end) {
+// noted counts an end that an owner took note of. lapses is how often the lease of the executor has run out by now.
+func (f *fleet) noted(x end, lapses int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unnoted--
+	if !f.checks || x.how != "done" || x.lapses != lapses {
+		return
+	}
+	f.notedDone[x.task] = true
+	if start := f.startedSince[fmt.Sprintf("%s/%d", x.task, x.run)]; start != "" {
+		f.breach("TWICE: %s started again as %s after its end, which is taken note of now", x.task, start)
+	}
+}
+
+func (f *fleet) breach(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	f.breaches = append(f.breaches, text)
+	f.record.line("BREACH %s", text)
+}
+
+// check applies the rules to a start. The caller holds f.mu.
+func (f *fleet) check(e *executor, r *run) {
+	if !f.checks {
+		return
+	}
+	if f.live[r.task] == nil {
+		f.live[r.task] = make(map[string]bool)
+	}
+	if len(f.live[r.task]) > 0 {
+		f.breach("TWICE: %s/%d starts on %s and runs on %v", r.task, r.number, e.id, f.live[r.task])
+	}
+	f.live[r.task][e.id] = true
+	job := jobOf(r.task)
+	if f.done[job][r.task] {
+		start := fmt.Sprintf("%d on %s", r.number, e.id)
+		for _, ended := range f.doneRuns[r.task] {
+			f.startedSince[fmt.Sprintf("%s/%d", r.task, ended)] = start
+		}
+		if f.notedDone[r.task] {
+			f.breach("TWICE: %s starts as %s after its end was taken note of", r.task, start)
+		}
+	}
+	if at, ok := f.cancelledAt[job]; ok && time.Since(at) > 3*time.Second {
+		f.breach("UNASKED: %s/%d starts %.1f s after its job was cancelled", r.task, r.number, time.Since(at).Seconds())
+	}
+	parts := strings.Split(r.task, ".")
+	for _, earlier := range r.work.After {
+		prefix, n := parts[0]+"."+parts[1]+"."+fmt.Sprint(earlier)+".", 0
+		for item := range f.done[job] {
+			if strings.HasPrefix(item, prefix) {
+				n++
+			}
+		}
+		if want := f.counts[job][earlier]; n < want {
+			f.breach("ORDER: %s/%d starts, %d of %d items of step %d are done", r.task, r.number, n, want, earlier)
+		}
+	}
+	if r.work.Spread > 0 {
+		n := 0
+		for _, x := range e.runs {
+			if x.step == r.step {
+				n++
+			}
+		}
+		if n > r.work.Spread {
+			f.breach("ROUTE: %d items of step %s on %s", n, r.step, e.id)
+		}
+	}
+	if c := r.checkpoint; c != "" {
+		ok := false
+		for i := range 40 {
+			item := r.task
+			if r.work.Gang > 0 {
+				item = fmt.Sprintf("%s.%d", r.step, i)
+			}
+			ok = ok || c[8:] == fmt.Sprintf("%08x", hash(item)&0xffffffff)
+		}
+		if !ok {
+			f.breach("UNASKED: %s/%d starts with checkpoint %s of another item", r.task, r.number, c)
+		}
+	}
 }
 
 // gangState tells a member of a gang how it ends now, or "". It begins to work once all members are there.
--- a/review/bed2/store.go
+++ b/review/bed2/store.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,6 +52,10 @@
 	writes   int
 	reads    int
 	tooLarge int
+	// down refuses all calls, lost leaves a share of the writes unanswered, lateLost of these are done 1 to 6 s later.
+	down     atomic.Bool
+	lost     atomic.Int32
+	lateLost atomic.Bool
 }
 
 // part applies its transactions one after another.
@@ -94,6 +100,32 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if rand.Int32N(100) < s.lost.Load() {
+		go func() {
+			if s.lateLost.Load() {
+				time.Sleep(time.Second + time.Duration(rand.Int64N(int64(5*time.Second))))
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, x := range txn.ExpectedRevision {
+				if s.rows[rowKey{x.Table, x.Part, x.Key}].Ver != x.Ver {
+					return
+				}
+			}
+			for _, x := range txn.Puts {
+				if len(x.Value) > maxRowBytes {
+					return
+				}
+			}
+			s.apply(txn.Puts, txn.Remove)
+		}()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if !s.admit(true) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -249,6 +281,10 @@
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !s.admit(false) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
@@ -278,6 +314,10 @@
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+	if s.down.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !s.admit(false) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
