--- a/review/bed2/cases.go
+++ b/review/bed2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,7 +10,7 @@
 // cases are the scripts by name. Each returns the number of breaches.
 var cases = map[string]func(*bed) (int, error){
 	"checkpoints": checkpoints, "schedule": schedule, "gang": gangCrash, "advice": adviceOfMany, "occurrences": occurrences,
-	"crashes": crashes, "chaos": chaos, "gangs": gangs, "grey": greyGang, "ends": unlistedEnds, "block": adviceBlocks, "hopeless": hopelessGang,
+	"crashes": crashes, "chaos": chaos, "gangs": gangs, "grey": greyGang, "pending": pending, "ends": unlistedEnds, "block": adviceBlocks, "hopeless": hopelessGang,
 }
 
 var (
@@ -324,3 +325,42 @@
 	time.Sleep(6 * time.Second)
 	return b.judge(), nil
 }
+
+// pending: the only executor with the label that some jobs require refuses starts for a time.
+func pending(b *bed) (int, error) {
+	if err := b.begin(9, lookups, batches); err != nil {
+		return 0, err
+	}
+	m := b.fleet.machines[4]
+	m.extra = "camera"
+	time.Sleep(3 * time.Second)
+	e := m.executor
+	e.setBusy(b.trouble)
+	for range 6 {
+		w := work{MS: 500, CPU: 500, Memory: 256}
+		b.submit(batches, w, []map[string]any{{"Count": 1, "Cpu": w.CPU, "MemMb": w.Memory, "EstimateMs": w.MS, "Requirements": "camera"}}, nil)
+	}
+	time.Sleep(5500 * time.Millisecond)
+	broken := 0
+	for _, n := range b.nodes {
+		waiting := 0
+		for _, j := range b.jobs {
+			if b.dueItems(j) > 0 {
+				waiting++
+			}
+		}
+		status, body := b.call(n, http.MethodGet, batches, "", nil)
+		var answer struct{ Pending int }
+		if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+			continue
+		}
+		b.record.line("GET queue from %s: Pending %d, %d jobs were accepted over 5 s before and have not begun", n.name, answer.Pending, waiting)
+		if 2*answer.Pending < waiting {
+			broken++
+			b.record.line("MIXED: under half of them")
+		}
+	}
+	e.setBusy(false)
+	time.Sleep(2 * time.Second)
+	return broken + b.judge(), nil
+}
--- a/review/bed2/chaos.go
+++ b/review/bed2/chaos.go
@@ -215,6 +215,12 @@
 	e.changed = make(chan struct{})
 }
 
+func (e *executor) setBusy(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy = on
+}
+
 func (e *executor) setGrey(on bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/bed2/executor.go
+++ b/review/bed2/executor.go
@@ -64,7 +64,8 @@
 	// dark is set while it neither answers nor reports, though its work goes on. late is the share of the orders that get no answer
 	// and are carried out late. lapses counts how often its lease ran out.
 	dark bool
-	// grey is set while it fails all that it starts.
+	// busy is set while it answers starts with 503, grey while it fails all that it starts.
+	busy   bool
 	grey   bool
 	late   float64
 	lapses int
@@ -150,7 +151,7 @@
 	e.fleet.store.put("servers", e.id, map[string]any{
 		"Service": e.machine.pool, "Address": e.address, "Zone": e.machine.zone, "Version": "v1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Capacity": map[string]int{"Cpu": executorCPU, "MemMb": executorMemory, "Gpu": 0},
-		"Labels": []string{"a", e.machine.rack}, "ClockMs": e.clock(), "Sequence": e.sequence, "born": e.born.UnixMilli(),
+		"Labels": e.machine.labels(), "ClockMs": e.clock(), "Sequence": e.sequence, "born": e.born.UnixMilli(),
 	})
 }
 
@@ -313,6 +314,11 @@
 	if !ok {
 		return
 	}
+	if e.busy {
+		e.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	reason := e.begin(o)
 	e.mu.Unlock()
 	if reason != "" {
--- a/review/bed2/fleet.go
+++ b/review/bed2/fleet.go
@@ -25,6 +25,15 @@
 	state                string
 	executor             *executor
 	wave                 int
+	// extra is a label beside the kind and the rack.
+	extra string
+}
+
+func (m *machine) labels() []string {
+	if m.extra != "" {
+		return []string{"a", m.rack, m.extra}
+	}
+	return []string{"a", m.rack}
 }
 
 // fleet holds the machines with their executors, and what they have run.
@@ -343,7 +352,7 @@
 			id = m.executor.id
 		}
 		page = append(page, map[string]any{
-			"Machine": m.id, "Pool": m.pool, "State": m.state, "Zone": m.zone, "Labels": []string{"a", m.rack},
+			"Machine": m.id, "Pool": m.pool, "State": m.state, "Zone": m.zone, "Labels": m.labels(),
 			"Capacity": map[string]int{"Cpu": executorCPU, "MemMb": executorMemory, "Gpu": 0}, "Id": id,
 		})
 	}
