--- a/review/bed2/chaos.go
+++ b/review/bed2/chaos.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -265,6 +264,3 @@
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
-
-// summary is what the checks found, for the record.
-func (f *fleet) summary() string { return strings.Join(f.breaches, "\n") }
