--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -17,11 +17,15 @@
 	var after uint64
 	full, outage := true, false
 	for ctx.Err() == nil {
-		sent, wait, timeout := m.opts.Now(), m.nextWait(), callTimeout
+		sent, wait := m.opts.Now(), m.nextWait()
+		var page rowstore.Page
+		var err error
 		if outage {
-			wait, timeout = minChangesWait, outageReadTimeout
+			wait = minChangesWait
+			page, sent, err = m.readDuringOutage(ctx, full, after)
+		} else {
+			page, err = m.read(ctx, full, after, wait, wait+callTimeout)
 		}
-		page, err := m.read(ctx, full, after, wait, wait+timeout)
 		outage = err != nil && !errors.Is(err, rowstore.ErrHistoryGone)
 		switch {
 		case err == nil:
@@ -53,6 +57,9 @@
 	if !m.observed {
 		return changesWait
 	}
+	if m.graceProbes > 0 {
+		return minChangesWait
+	}
 	next := m.leaseExpiresAt()
 	if m.attemptAt != 0 {
 		next = m.attemptAt
@@ -75,6 +82,43 @@
 	return m.opts.Store.Changes(ctx, Table, after, wait)
 }
 
+// readDuringOutage reads like read, in attempts that overlap, until one is answered or ctx ends. A call that was sent while the store
+// did not respond is never answered, so without the overlap the end of an outage would be noticed up to outageReadTimeout late. It also
+// returns when the attempt was sent that decided the result.
+func (m *Manager) readDuringOutage(ctx context.Context, full bool, after uint64) (rowstore.Page, time.Duration, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type attempt struct {
+		page rowstore.Page
+		sent time.Duration
+		err  error
+	}
+	answered := make(chan attempt)
+	start := func() {
+		sent := m.opts.Now()
+		page, err := m.read(ctx, full, after, minChangesWait, minChangesWait+outageReadTimeout)
+		if err != nil && !errors.Is(err, rowstore.ErrHistoryGone) {
+			return
+		}
+		select {
+		case answered <- attempt{page, sent, err}:
+		case <-ctx.Done():
+		}
+	}
+	next := time.NewTicker(outageReadInterval)
+	defer next.Stop()
+	for {
+		go start()
+		select {
+		case <-next.C:
+		case a := <-answered:
+			return a.page, a.sent, a.err
+		case <-ctx.Done():
+			return rowstore.Page{}, 0, ctx.Err()
+		}
+	}
+}
+
 // readAll reads both partitions of the table. It returns the version of the first read, that of the lease, so that the changes
 // after it include all that the reads have missed.
 func (m *Manager) readAll(ctx context.Context) (rowstore.Page, error) {
@@ -98,6 +142,7 @@
 		m.changedAt = now
 	case gap > maxReadGap+changesWait:
 		m.changedAt = max(m.changedAt, now+graceAfterGap-m.lease.validFor()-takeoverMargin)
+		m.graceProbes = maxGraceProbes
 	}
 	m.observed, m.observedUntil = true, sent
 	for _, r := range rows {
@@ -125,18 +170,19 @@
 			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
 		}).Info("owner changed")
 	}
-	m.lease, m.leaseVersion, m.changedAt = l, r.Version, now
+	m.lease, m.leaseVersion, m.changedAt, m.graceProbes = l, r.Version, now, 0
 }
 
 // probe asks the owner's address whether the owner's process still runs, if the lease was not renewed in time. A refused
 // connection, or a response with another Holder, shows that it has ended. If the network refuses connections to an owner that
 // runs, a takeover is still safe: the fence rejects the owner's writes, and the new owner waits until the leases that the
-// former one granted have expired.
+// former one granted have expired. Once the lease is free the answer would not matter, and a call to a host that is cut off takes
+// probeTimeout.
 func (m *Manager) probe(ctx context.Context) {
 	m.mu.Lock()
 	l := m.lease
 	shouldProbe := m.opts.Probe != nil && m.observed && !m.owns && !m.withdrawn && m.leaseVersion != 0 && !l.Released &&
-		l.Holder != m.opts.Holder && l.Holder != m.endedHolder && (m.opts.Now()-m.changedAt > probeAfter || !m.probed)
+		l.Holder != m.opts.Holder && !m.leaseFree() && (m.opts.Now()-m.changedAt > probeAfter || m.graceProbes > 0 || !m.probed)
 	m.probed = m.probed || shouldProbe
 	m.mu.Unlock()
 	if !shouldProbe {
@@ -145,7 +191,12 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	holder, err := m.opts.Probe(ctx, l.Address)
-	if err != nil || holder == l.Holder {
+	if err != nil {
+		m.endGraceOfSilent(l)
+		return
+	}
+	if holder == l.Holder {
+		m.endGraceProbes()
 		return
 	}
 	m.opts.Log.WithFields(log.Fields{"owner": l.Holder, "epoch": l.Epoch, "answered": holder}).Info("process of the owner has ended, treating its lease as free")
@@ -154,6 +205,29 @@
 	m.endedHolder = l.Holder
 }
 
+// endGraceOfSilent counts a probe without an answer during the grace after a gap between reads. After maxGraceProbes of them the
+// grace ends: the store responds again, but the owner is lost or cut off. Its last renewal is no longer valid by then, as the gap
+// was longer than that.
+func (m *Manager) endGraceOfSilent(probed Lease) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.graceProbes == 0 || m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
+		return
+	}
+	if m.graceProbes--; m.graceProbes > 0 {
+		return
+	}
+	m.changedAt = min(m.changedAt, m.opts.Now()-m.lease.validFor()-takeoverMargin)
+	m.opts.Log.WithFields(log.Fields{"owner": m.lease.Holder, "epoch": m.lease.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
+}
+
+// endGraceProbes is called when the owner answers: it has the whole grace to renew its lease.
+func (m *Manager) endGraceProbes() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.graceProbes = 0
+}
+
 // leaseFree reports whether this process may take the lease; the caller holds the lock.
 func (m *Manager) leaseFree() bool {
 	if m.withdrawn || m.owns || !m.observed {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -75,6 +75,11 @@
 	// outageReadTimeout bounds a read after one that failed, so that the end of an outage is noticed soon; a slow store takes
 	// 0.7 s.
 	outageReadTimeout = time.Second
+	// outageReadInterval is the time between overlapping reads while the store does not respond.
+	outageReadInterval = 250 * time.Millisecond
+	// maxGraceProbes is how many probes in a row the owner must have left unanswered to lose what is left of graceAfterGap. One
+	// may be lost, or time out at an owner that is short of processor time.
+	maxGraceProbes = 2
 	// fullHedge is the time after which an unanswered renewal is sent again, because the response may be lost. Two responses in a
 	// row may get lost within fullValidity.
 	fullHedge = 650 * time.Millisecond
@@ -189,6 +194,9 @@
 	attemptAt time.Duration
 	// storeLatency is how long the last read took beyond its wait.
 	storeLatency time.Duration
+	// graceProbes is how many more probes the owner may leave unanswered during the grace after a gap between reads; 0 if there is
+	// no such grace.
+	graceProbes int
 	// endedHolder is the last holder whose process has certainly ended.
 	endedHolder string
 	// storeSeenAt is when the store last responded.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -26,8 +26,9 @@
 	successors atomic.Pointer[[]string]
 	outranked  atomic.Pointer[string]
 	candidates []*candidate
-	// ended holds the addresses of processes for which Options.Probe reports that they have ended.
-	ended sync.Map
+	// ended holds the addresses of processes for which Options.Probe reports that they have ended, unreachable those that do not
+	// answer it.
+	ended, unreachable sync.Map
 }
 
 // candidate is a manager with its own connection to the store. It records the epochs of the terms that it led.
@@ -74,11 +75,15 @@
 			<-ctx.Done()
 			return nil
 		},
-		Probe: func(_ context.Context, address string) (string, error) {
+		Probe: func(ctx context.Context, address string) (string, error) {
 			if _, ended := g.ended.Load(address); ended {
 				return "", nil
 			}
-			return "", errors.New("no response")
+			if _, unreachable := g.unreachable.Load(address); unreachable {
+				<-ctx.Done()
+				return "", errors.New("no response")
+			}
+			return address + "/1", nil
 		},
 		Successors: func() []string {
 			if names := g.successors.Load(); names != nil {
@@ -194,6 +199,29 @@
 	})
 }
 
+// Guards against a grace for an owner that is cut off when the store is back after an outage: nothing starts meanwhile, although the
+// other hosts are served by the store and the owner's lease is over.
+func TestOwnerCutOffDuringAnOutageIsReplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, "a", "b", "c")
+		time.Sleep(time.Second)
+		first := g.owners()[0]
+		for _, c := range g.candidates {
+			c.handle.SetFault(dropCall)
+		}
+		g.unreachable.Store(first.manager.opts.Address, true)
+		time.Sleep(4700 * time.Millisecond)
+		for _, c := range g.candidates {
+			if c != first {
+				c.handle.SetFault(nil)
+			}
+		}
+		time.Sleep(outageReadInterval + maxGraceProbes*probeTimeout + minSlot + 100*time.Millisecond)
+		assert.Equal(t, len(g.owners()), 1)
+		assert.Assert(t, g.owners()[0] != first)
+	})
+}
+
 // If the response to a renewal is lost and its retries are refused, a later attempt finds the row of the first one. The
 // owner must count its validity from the first attempt, as the others do, or there are two owners at once.
 func TestLostAnswersNeverMakeTwoOwners(t *testing.T) {
