--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -57,7 +57,7 @@
 	if !m.observed {
 		return changesWait
 	}
-	if m.graceProbes > 0 {
+	if m.inGrace {
 		return minChangesWait
 	}
 	next := m.leaseExpiresAt()
@@ -69,7 +69,11 @@
 
 // leaseExpiresAt returns when the lease can be taken if it does not change; the caller holds the lock.
 func (m *Manager) leaseExpiresAt() time.Duration {
-	return m.changedAt + m.lease.validFor() + takeoverMargin
+	margin := takeoverMargin
+	if m.silentProbes >= maxSilentProbes {
+		margin = silentMargin
+	}
+	return m.changedAt + m.lease.validFor() + margin
 }
 
 // read returns all rows of the table if full is set, else the changes after a version.
@@ -142,7 +146,7 @@
 		m.changedAt = now
 	case gap > maxReadGap+changesWait:
 		m.changedAt = max(m.changedAt, now+graceAfterGap-m.lease.validFor()-takeoverMargin)
-		m.graceProbes = maxGraceProbes
+		m.inGrace, m.silentProbes = true, 0
 	}
 	m.observed, m.observedUntil = true, sent
 	for _, r := range rows {
@@ -170,7 +174,8 @@
 			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
 		}).Info("owner changed")
 	}
-	m.lease, m.leaseVersion, m.changedAt, m.graceProbes = l, r.Version, now, 0
+	m.lease, m.leaseVersion, m.changedAt = l, r.Version, now
+	m.inGrace, m.silentProbes = false, 0
 }
 
 // probe asks the owner's address whether the owner's process still runs, if the lease was not renewed in time. A refused
@@ -182,7 +187,7 @@
 	m.mu.Lock()
 	l := m.lease
 	shouldProbe := m.opts.Probe != nil && m.observed && !m.owns && !m.withdrawn && m.leaseVersion != 0 && !l.Released &&
-		l.Holder != m.opts.Holder && !m.leaseFree() && (m.opts.Now()-m.changedAt > probeAfter || m.graceProbes > 0 || !m.probed)
+		l.Holder != m.opts.Holder && !m.leaseFree() && (m.opts.Now()-m.changedAt > probeAfter || m.inGrace || !m.probed)
 	m.probed = m.probed || shouldProbe
 	m.mu.Unlock()
 	if !shouldProbe {
@@ -192,11 +197,11 @@
 	defer cancel()
 	holder, err := m.opts.Probe(ctx, l.Address)
 	if err != nil {
-		m.endGraceOfSilent(l)
+		m.recordSilentProbe(l)
 		return
 	}
 	if holder == l.Holder {
-		m.endGraceProbes()
+		m.recordProbeAnswer()
 		return
 	}
 	m.opts.Log.WithFields(log.Fields{"owner": l.Holder, "epoch": l.Epoch, "answered": holder}).Info("process of the owner has ended, treating its lease as free")
@@ -205,27 +210,28 @@
 	m.endedHolder = l.Holder
 }
 
-// endGraceOfSilent counts a probe without an answer during the grace after a gap between reads. After maxGraceProbes of them the
-// grace ends: the store responds again, but the owner is lost or cut off. Its last renewal is no longer valid by then, as the gap
-// was longer than that.
-func (m *Manager) endGraceOfSilent(probed Lease) {
+// recordSilentProbe counts a probe that the owner did not answer. After maxSilentProbes in a row the owner is taken to be lost or cut
+// off: the lease expires silentMargin after its end, and a grace after a gap between reads is over. The owner's last renewal is no
+// longer valid then, as the gap was longer than that.
+func (m *Manager) recordSilentProbe(probed Lease) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.graceProbes == 0 || m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
+	if m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
 		return
 	}
-	if m.graceProbes--; m.graceProbes > 0 {
+	if m.silentProbes++; m.silentProbes < maxSilentProbes || !m.inGrace {
 		return
 	}
+	m.inGrace = false
 	m.changedAt = min(m.changedAt, m.opts.Now()-m.lease.validFor()-takeoverMargin)
 	m.opts.Log.WithFields(log.Fields{"owner": m.lease.Holder, "epoch": m.lease.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
 }
 
-// endGraceProbes is called when the owner answers: it has the whole grace to renew its lease.
-func (m *Manager) endGraceProbes() {
+// recordProbeAnswer is called when the owner answers a probe. In a grace it has the whole of it to renew its lease.
+func (m *Manager) recordProbeAnswer() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.graceProbes = 0
+	m.inGrace, m.silentProbes = false, 0
 }
 
 // leaseFree reports whether this process may take the lease; the caller holds the lock.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -77,9 +77,11 @@
 	outageReadTimeout = time.Second
 	// outageReadInterval is the time between overlapping reads while the store does not respond.
 	outageReadInterval = 250 * time.Millisecond
-	// maxGraceProbes is how many probes in a row the owner must have left unanswered to lose what is left of graceAfterGap. One
-	// may be lost, or time out at an owner that is short of processor time.
-	maxGraceProbes = 2
+	// maxSilentProbes is how many probes in a row the owner must have left unanswered to be taken over without a wait for a late
+	// renewal. One may be lost, or time out at an owner that is short of processor time.
+	maxSilentProbes = 2
+	// silentMargin replaces takeoverMargin then. It covers differences between the clocks of two hosts.
+	silentMargin = 100 * time.Millisecond
 	// fullHedge is the time after which an unanswered renewal is sent again, because the response may be lost. Two responses in a
 	// row may get lost within fullValidity.
 	fullHedge = 650 * time.Millisecond
@@ -194,9 +196,10 @@
 	attemptAt time.Duration
 	// storeLatency is how long the last read took beyond its wait.
 	storeLatency time.Duration
-	// graceProbes is how many more probes the owner may leave unanswered during the grace after a gap between reads; 0 if there is
-	// no such grace.
-	graceProbes int
+	// inGrace is set during the grace after a gap between reads, until the owner has answered a probe. silentProbes counts the probes
+	// in a row that it has not answered since the lease last changed.
+	inGrace      bool
+	silentProbes int
 	// endedHolder is the last holder whose process has certainly ended.
 	endedHolder string
 	// storeSeenAt is when the store last responded.
