--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -145,6 +145,19 @@
 // at version, or nil. A job whose record does not fit it is not added, because its finished tasks could run again; the error
 // wraps ErrRecord. A job that is already known is left as it is.
 func (c *Core) AddJob(now time.Duration, spec *workload.Job, rec *Record, version uint64, inherited bool) error {
+	return c.addJob(now, spec, rec, version, inherited, !inherited)
+}
+
+// AddUnstartedJob makes a job known that was accepted before this owner took over and that no former owner can have started. Unlike
+// the tasks of an inherited job, its tasks run on no unreconciled executor. It does not count as an arrival: the jobs accepted in
+// the seconds around a takeover become known at once, and would exceed the rates of their organisations and of their queue.
+func (c *Core) AddUnstartedJob(now time.Duration, spec *workload.Job) {
+	// Without a record there is nothing to restore that can fail.
+	_ = c.addJob(now, spec, nil, 0, false, false)
+}
+
+// addJob adds a job; arrives is set if it counts as an arrival.
+func (c *Core) addJob(now time.Duration, spec *workload.Job, rec *Record, version uint64, inherited, arrives bool) error {
 	if c.jobs[spec.ID] != nil {
 		return nil
 	}
@@ -178,7 +191,7 @@
 	if inherited && j.service == spec.Service && spec.ConfigVersion >= c.routeHistory.since(spec.Route) {
 		j.onlyService = spec.Service
 	}
-	if !inherited {
+	if arrives {
 		c.countArrival(j)
 		j.beyondShare = !j.organisation.takeToken(now)
 	}
--- a/scheduler/organisations_test.go
+++ b/scheduler/organisations_test.go
@@ -139,3 +139,26 @@
 	}
 	assert.DeepEqual(t, started, []string{"hot00", "hot01", "hot02", "calm"})
 }
+
+// Guards against jobs accepted around a takeover that wait for executors that have not reported, although no former owner can have
+// started them, and against counting them as arrivals: they become known at once, and would exceed the share of their organisation.
+func TestUnstartedJobsDoNotWaitForUnreconciledExecutors(t *testing.T) {
+	h := newHarness(t, 4)
+	h.setOrganisation(2, workload.Organisation{Name: "o", Weight: 2, Cap: workload.Resources{CPUMilli: 9000}})
+	h.core.PutExecutor(h.now, workload.Executor{ID: "silent", Service: service, Capacity: size, Kind: "a", Rack: "r"})
+	h.core.AddUnreconciled(h.now, "silent", service, nil)
+	step := workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1000}, Estimate: 100}
+	h.inherit("o", "old", nil, step)
+	before := h.core.Demands(h.now)[service].Arrived
+	for i := range 5 {
+		h.core.AddUnstartedJob(h.now, &workload.Job{
+			ID: fmt.Sprintf("j%d", i), Route: "queue", Service: service, ConfigVersion: 1, Steps: []workload.Step{step}, Organisation: "o",
+		})
+	}
+	assert.Equal(t, h.core.Demands(h.now)[service].Arrived, before)
+	for i := range 5 {
+		assert.Assert(t, !h.core.jobs[fmt.Sprintf("j%d", i)].beyondShare)
+	}
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 5, "all but the inherited job")
+}
--- a/standin/rows/rows.go
+++ b/standin/rows/rows.go
@@ -359,8 +359,9 @@
 		return rowstore.Page{}, nil, rowstore.ErrHistoryGone
 	}
 	page := rowstore.Page{Version: s.version}
-	for _, r := range s.history {
-		if r.Table == table && r.Version > after {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > after })
+	for _, r := range s.history[first:] {
+		if r.Table == table {
 			page.Rows = append(page.Rows, r)
 		}
 	}
