--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -83,9 +83,9 @@
 	// Now is elapsed time on a clock that also runs while the host is suspended, WallMS the Unix time in milliseconds.
 	Now    func() time.Duration
 	WallMS func() int64
-	// OwnsJobs reports whether this process owns the jobs now, OwnsJobsUntil until when it certainly owns them.
-	OwnsJobs      func() bool
-	OwnsJobsUntil func() time.Duration
+	// OwnsJobs reports whether this process owns the jobs now. Jobs that arrive later than ArrivalLimit are not started.
+	OwnsJobs     func() bool
+	ArrivalLimit func() time.Duration
 	// MayContinue reports whether this process may keep using the executors that it is in contact with, although its
 	// ownership may have ended.
 	MayContinue func() bool
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -54,6 +54,8 @@
 	continuable map[string]*atomic.Bool
 	// jobRecords holds the stored job records until all jobs are loaded.
 	jobRecords map[string]storedJobRecord
+	// loadedJobs counts the unfinished jobs that were loaded, by their origin.
+	loadedJobs map[jobOrigin]int
 	rows       *ownerRows
 	// executorRecords holds the executors that may run tasks for this owner or an earlier one.
 	executorRecords map[string]executorRecord
@@ -119,7 +121,7 @@
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
 		lag:       elapsed.NewLag(ctx),
 		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
-		jobRecords: make(map[string]storedJobRecord), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
+		jobRecords: make(map[string]storedJobRecord), loadedJobs: make(map[jobOrigin]int), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
 		startedAt: opts.Now(),
 	}
 	l.machines = newMachineState(l.startedAt + firstOrderDelay)
@@ -275,7 +277,7 @@
 	case now < l.nextPassAt:
 		l.passTimer.Reset(l.nextPassAt - now)
 	default:
-		l.core.Schedule(now, l.opts.OwnsJobsUntil())
+		l.core.Schedule(now, l.opts.ArrivalLimit())
 		l.opts.Metrics.passes.Inc()
 		l.nextPassAt = now + minPassInterval
 	}
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -25,7 +25,7 @@
 func newTestLeadership(ctx context.Context, now func() time.Duration) *leadership {
 	l := newLeadership(ctx, Options{
 		Now: now, WallMS: func() int64 { return 0 }, OwnsJobs: func() bool { return true },
-		OwnsJobsUntil: now, MayContinue: func() bool { return true },
+		ArrivalLimit: now, MayContinue: func() bool { return true },
 		Store: rows.New().Handle(),
 		Log:   &log.Logger{Handler: discard.Default}, Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, ownership.Term{Epoch: 1})
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -146,8 +146,10 @@
 		}
 	}
 	// Logged before the sessions, which may take hundreds of lines, because the bounded log may drop some of those.
+	l.opts.Metrics.countLoadedJobs(l.loadedJobs)
 	l.log.WithFields(log.Fields{
 		"records": len(l.jobRecords), "executors": len(l.executorRecords), "inherited": len(inherited),
+		"accepted_after": l.term.AcceptedAfter, "inherited_jobs": l.loadedJobs[originInherited], "unstarted_jobs": l.loadedJobs[originUnstarted],
 		"took_ms": (l.opts.Now() - l.startedAt).Milliseconds(),
 	}).Info("state loaded")
 	l.resumeInherited(inherited)
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -25,6 +25,7 @@
 	lag           prometheus.Gauge
 	waits         *prometheus.CounterVec
 	machineTime   *prometheus.CounterVec
+	loadedJobs    *prometheus.CounterVec
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 }
@@ -76,9 +77,13 @@
 		machineTime: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_machine_seconds_total", Help: "Time of machines by what they did.",
 		}, []string{"state"}),
+		loadedJobs: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_takeover_jobs_total",
+			Help: "Unfinished jobs that a new owner loaded: inherited ones may have been started by a former owner, unstarted ones cannot.",
+		}, []string{"origin"}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime, m.loadedJobs)
 	return m
 }
 
@@ -87,6 +92,12 @@
 	m.startTime.Observe(took.Seconds())
 }
 
+func (m *Metrics) countLoadedJobs(n map[jobOrigin]int) {
+	for _, origin := range []jobOrigin{originInherited, originUnstarted} {
+		m.loadedJobs.WithLabelValues(string(origin)).Add(float64(n[origin]))
+	}
+}
+
 func (m *Metrics) countReport(r workload.Report) {
 	m.reports.Inc()
 	m.countEnds(r.Ended)
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -30,16 +30,32 @@
 			}
 		}
 	case frontend.JobTable:
-		for _, r := range b.Rows {
-			if !r.Deleted {
-				l.applyJob(now, r, loading)
-			}
+		l.applyJobs(now, b, loading)
+	}
+}
+
+// applyJobs adds the jobs of a batch to the core.
+func (l *leadership) applyJobs(now time.Duration, b feed.Batch, loading bool) {
+	var oldest map[string]uint64
+	if loading {
+		oldest = oldestVersions(b.Rows)
+	}
+	for _, r := range b.Rows {
+		if r.Deleted {
+			continue
 		}
+		origin := originNew
+		if loading {
+			_, recorded := l.jobRecords[r.Name]
+			origin = originOf(oldest[r.Name], recorded, l.term.AcceptedAfter)
+		}
+		l.applyJob(now, r, origin)
 	}
 }
 
-// applyJob adds a job to the core. Inherited jobs may have run for an earlier owner.
-func (l *leadership) applyJob(now time.Duration, r rowstore.Row, inherited bool) {
+// applyJob adds a job to the core.
+func (l *leadership) applyJob(now time.Duration, r rowstore.Row, origin jobOrigin) {
+	inherited := origin == originInherited
 	var job workload.Job
 	if err := json.Unmarshal(r.Value, &job); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("job row cannot be read")
@@ -54,12 +70,18 @@
 		l.addUnreadableJob(inherited)
 		return
 	}
-	if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
+	_, known := l.core.Status(r.Name)
+	if origin == originUnstarted {
+		l.core.AddUnstartedJob(now, &job)
+	} else if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("record of a job cannot be used; the job does not run")
 		return
 	}
+	if origin != originNew && !known && !(found && stored.record.Status.Final()) {
+		l.loadedJobs[origin]++
+	}
 	submitted := now
-	if inherited {
+	if origin != originNew {
 		submitted -= max(0, time.Duration(l.opts.WallMS()-job.AcceptedUnixMS)*time.Millisecond)
 	}
 	if first, ok := l.opts.FirstSubmitted(r.Name); ok {
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -342,7 +342,7 @@
 	h.coordinator = New(Options{
 		Store: h.handle, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
-		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, OwnsJobsUntil: func() time.Duration { return h.manager.OwnsJobsUntil() },
+		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, ArrivalLimit: func() time.Duration { return h.manager.ArrivalLimit() },
 		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Retention: c.retention,
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -122,7 +122,7 @@
 		Store: n.store, Directory: platform.Directory{}, Executors: platform.NewExecutors(),
 		Machines: platform.NewMachines(s.MachineAddress, func() bool { return n.manager.OwnsJobs() }), Holder: s.ID,
 		Now: elapsed.Now, WallMS: wallMS, OwnsJobs: func() bool { return n.manager.OwnsJobs() },
-		OwnsJobsUntil:  func() time.Duration { return n.manager.OwnsJobsUntil() },
+		ArrivalLimit:   func() time.Duration { return n.manager.ArrivalLimit() },
 		MayContinue:    func() bool { return n.manager.MayContinue() },
 		FirstSubmitted: func(job string) (time.Duration, bool) { return n.frontend.FirstSubmitted(job) },
 		Log:            t.Log, Metrics: coordinator.NewMetrics(t.Registry),
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -55,12 +55,13 @@
 	}), 1, 25).Draw(rt, "events")
 }
 
-// runSteps runs the steps and returns a violation: more than one owner at any time, or not exactly one after all faults have
-// ended. It returns "" if there was none.
+// runSteps runs the steps and returns a violation: more than one owner at any time, not exactly one after all faults have ended, or
+// a cutoff after which a former owner could start a job. It returns "" if there was none.
 func runSteps(t *testing.T, names []string, steps []faultStep) (violation string) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, names...)
 		g.successors.Store(&names)
+		go g.changeRows(t)
 		watch := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				if n := len(g.owners()); n > 1 && violation == "" {
@@ -83,6 +84,9 @@
 		if n := len(g.owners()); n != 1 && violation == "" {
 			violation = fmt.Sprintf("%d owners after all faults have ended", n)
 		}
+		if wrong := wrongCutoff(g.stop()); wrong != "" && violation == "" {
+			violation = wrong
+		}
 	})
 	return violation
 }
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -14,6 +14,7 @@
 
 // Run observes the lease, takes it when it is free, and leads while this process holds it, until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	defer m.cutoffReads.Wait()
 	var after uint64
 	full, outage := true, false
 	for ctx.Err() == nil {
@@ -39,6 +40,7 @@
 			continue
 		}
 		m.probe(ctx)
+		m.startCutoffRead(ctx)
 		if m.shouldTakeOver() {
 			m.takeOver(ctx)
 			full = true
@@ -57,6 +59,9 @@
 	if m.attemptAt != 0 {
 		next = m.attemptAt
 	}
+	if due, ok := m.cutoffDueAt(); ok {
+		next = min(next, due)
+	}
 	return min(changesWait, max(minChangesWait, next-m.opts.Now()))
 }
 
@@ -125,6 +130,9 @@
 			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
 		}).Info("owner changed")
 	}
+	if l.Epoch != m.lease.Epoch || m.leaseVersion == 0 || l.Holder == "" {
+		m.epochSeenAt = now
+	}
 	m.lease, m.leaseVersion, m.changedAt = l, r.Version, now
 }
 
@@ -151,7 +159,7 @@
 	m.opts.Log.WithFields(log.Fields{"owner": l.Holder, "epoch": l.Epoch, "answered": holder}).Info("process of the owner has ended, treating its lease as free")
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endedHolder = l.Holder
+	m.endedHolder, m.replaced = l.Holder, holder != ""
 }
 
 // leaseFree reports whether this process may take the lease; the caller holds the lock.
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -53,6 +53,9 @@
 	shortValidity = 1100 * time.Millisecond
 	shortInterval = 300 * time.Millisecond
 	shortHedge    = 350 * time.Millisecond
+	// shortStartLimit replaces the validity as Manager.ArrivalLimit while the store responds promptly: two shortIntervals, so that a
+	// renewal may come late by one of them before jobs that arrive have to wait.
+	shortStartLimit = 2 * shortInterval
 	// minPromptRenewals is how many renewals in a row must have succeeded within maxPromptRenewal, at the first attempt, before
 	// the short times apply.
 	minPromptRenewals = 6
@@ -116,6 +119,9 @@
 	Renewal uint64 `json:"renewal"`
 	// ValidMS is how long the holder acts after it sent this renewal, in milliseconds.
 	ValidMS int64 `json:"valid_ms"`
+	// StartsMS is how long after it sent this renewal a job may arrive at the holder at the latest for the holder to start it, in
+	// milliseconds. Absent, as in rows of former versions, it is ValidMS.
+	StartsMS int64 `json:"starts_ms,omitempty"`
 	// Successors are the names of the hosts that are to take over first, in this order.
 	Successors []string `json:"successors,omitempty"`
 	// Released is set when the holder has given up the lease.
@@ -133,6 +139,9 @@
 type Term struct {
 	Epoch        uint64
 	FenceVersion uint64
+	// AcceptedAfter is a version of the store that is certainly later than any job that a former owner may have started: no former
+	// owner starts a job of which all rows have a higher version. 0 means that no such version is known.
+	AcceptedAfter uint64
 }
 
 // Options configure a Manager.
@@ -174,9 +183,19 @@
 	observed      bool
 	// probed is set after the first probe, which a process makes right after its start, without waiting for probeAfter.
 	probed bool
-	// owns is set from a takeover until the ownership ends; this process may act as the owner only until validUntil.
-	owns       bool
-	validUntil time.Duration
+	// epochSeenAt is when this process first saw the lease of the current epoch.
+	epochSeenAt time.Duration
+	// cutoff is the newest acceptance cutoff that was read; readingCutoff is set while a read of one is in progress.
+	cutoff        acceptanceCutoff
+	readingCutoff bool
+	cutoffReads   sync.WaitGroup
+	// cutoffRetryAt is when a cutoff may be read again after a failed read.
+	cutoffRetryAt time.Duration
+	// owns is set from a takeover until the ownership ends; this process may act as the owner only until validUntil. Of the jobs,
+	// it starts those that arrived until startsUntil.
+	owns        bool
+	validUntil  time.Duration
+	startsUntil time.Duration
 	// confirmedAt is when the last successful renewal was sent.
 	confirmedAt time.Duration
 	// withdrawn is set when this process must no longer take the lease.
@@ -189,8 +208,10 @@
 	attemptAt time.Duration
 	// storeLatency is how long the last read took beyond its wait.
 	storeLatency time.Duration
-	// endedHolder is the last holder whose process has certainly ended.
+	// endedHolder is the last holder whose process has ended. replaced is set if another holder answers at its address; otherwise its
+	// address refuses connections, which a network may do while the process runs.
 	endedHolder string
+	replaced    bool
 	// storeSeenAt is when the store last responded.
 	storeSeenAt time.Duration
 }
@@ -214,11 +235,12 @@
 	return m.owns && m.opts.Now() < m.confirmedAt+Continuation
 }
 
-// OwnsJobsUntil returns the time until which this process is certainly the owner.
-func (m *Manager) OwnsJobsUntil() time.Duration {
+// ArrivalLimit returns the time until which a job must have arrived for this process to start it. Later jobs may belong to another
+// owner, which starts at once what was accepted after this time.
+func (m *Manager) ArrivalLimit() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.validUntil
+	return m.startsUntil
 }
 
 // OwnerAddress returns the address of the current owner, or "" if none is known.
@@ -270,13 +292,21 @@
 		return
 	}
 	m.mu.Lock()
+	now := m.opts.Now()
+	term := Term{Epoch: next.Epoch, FenceVersion: written, AcceptedAfter: m.cutoff.of(version)}
+	fields := log.Fields{
+		"epoch": next.Epoch, "previous": previous.Holder, "released": previous.Released, "version": written,
+		"lease_age_ms": (now - m.changedAt).Milliseconds(), "accepted_after": term.AcceptedAfter,
+	}
+	if term.AcceptedAfter != 0 {
+		fields["cutoff_age_ms"] = (now - m.cutoff.readAt).Milliseconds()
+	}
 	m.lease, m.leaseVersion, m.fenceVersion = next, written, written
-	m.owns, m.validUntil, m.confirmedAt, m.changedAt = true, sent+fullValidity, sent, m.opts.Now()
+	m.owns, m.validUntil, m.confirmedAt, m.changedAt, m.epochSeenAt = true, sent+fullValidity, sent, now, now
+	m.startsUntil = m.validUntil
 	m.mu.Unlock()
-	m.opts.Log.WithFields(log.Fields{
-		"epoch": next.Epoch, "previous": previous.Holder, "released": previous.Released, "version": written,
-	}).Info("ownership taken")
-	m.lead(ctx, Term{Epoch: next.Epoch, FenceVersion: written})
+	m.opts.Log.WithFields(fields).Info("ownership taken")
+	m.lead(ctx, term)
 }
 
 // write stores the lease if its row is still at version. If fence is not nil, it also stores a new fence, and only if the
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -15,6 +15,8 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/elapsed"
+	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
 )
 
@@ -26,8 +28,10 @@
 	successors atomic.Pointer[[]string]
 	outranked  atomic.Pointer[string]
 	candidates []*candidate
-	// ended holds the addresses of processes for which Options.Probe reports that they have ended.
+	// ended holds, by address, what Options.Probe returns for processes that have ended: the next holder there, or "".
 	ended sync.Map
+	// silentReads makes reads other than those of changes get no response.
+	silentReads atomic.Bool
 }
 
 // candidate is a manager with its own connection to the store. It records the epochs of the terms that it led.
@@ -38,6 +42,67 @@
 	done    chan struct{}
 	mu      sync.Mutex
 	epochs  []uint64
+	terms   []ledTerm
+}
+
+// ledTerm is a term that a candidate led, and the newest row that could arrive in it for a job to be started.
+type ledTerm struct {
+	Term
+	lastStartable uint64
+}
+
+// arrivingKey is a row that changes all the time.
+var arrivingKey = rowstore.Key{Table: "jobs", Name: "arriving"}
+
+// arrivalInterval is the time between two changes of the row at arrivingKey.
+const arrivalInterval = 10 * time.Millisecond
+
+// changeRows changes the row at arrivingKey until the test ends.
+func (g *group) changeRows(t *testing.T) {
+	for t.Context().Err() == nil {
+		g.store.Put(arrivingKey, nil)
+		elapsed.Sleep(t.Context(), arrivalInterval)
+	}
+}
+
+// lead records in a term which row could arrive last, until the term ends.
+func (g *group) lead(ctx context.Context, c *candidate, term Term) {
+	led := ledTerm{Term: term}
+	for ctx.Err() == nil {
+		if row, _ := g.store.Get(arrivingKey); c.manager.opts.Now() <= c.manager.ArrivalLimit() {
+			led.lastStartable = row.Version
+		}
+		elapsed.Sleep(ctx, arrivalInterval)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.terms = append(c.terms, led)
+}
+
+// stop stops all candidates and returns the terms that they led.
+func (g *group) stop() []ledTerm {
+	var terms []ledTerm
+	for _, c := range g.candidates {
+		c.cancel()
+	}
+	for _, c := range g.candidates {
+		<-c.done
+		terms = append(terms, c.terms...)
+	}
+	return terms
+}
+
+// wrongCutoff returns a description of a former owner that could start a job accepted after the cutoff of a later one, or "".
+func wrongCutoff(terms []ledTerm) string {
+	for _, former := range terms {
+		for _, later := range terms {
+			if former.Epoch < later.Epoch && later.AcceptedAfter != 0 && former.lastStartable > later.AcceptedAfter {
+				return fmt.Sprintf("owner %d takes jobs after %d for not started, owner %d may have started one at %d",
+					later.Epoch, later.AcceptedAfter, former.Epoch, former.lastStartable)
+			}
+		}
+	}
+	return ""
 }
 
 func newGroup(t *testing.T, names ...string) *group {
@@ -59,24 +124,38 @@
 	})
 }
 
+// candidateStore is the connection of a candidate to the store.
+type candidateStore struct {
+	*rows.Handle
+	silent *atomic.Bool
+}
+
+func (s candidateStore) Read(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return rowstore.Page{}, rowstore.ErrAmbiguous
+	}
+	return s.Handle.Read(ctx, r)
+}
+
 // join adds a running candidate.
 func (g *group) join(name string) {
 	began := time.Now()
 	c := &candidate{handle: g.store.Handle(), done: make(chan struct{})}
 	c.manager = New(Options{
-		Store: c.handle, Holder: name + "/1", Name: name, Address: name, Preference: 1,
+		Store: candidateStore{c.handle, &g.silentReads}, Holder: name + "/1", Name: name, Address: name, Preference: 1,
 		Now: func() time.Duration { return time.Since(began) },
 		Log: &log.Logger{Handler: discard.New()},
 		Lead: func(ctx context.Context, term Term) error {
 			c.mu.Lock()
 			c.epochs = append(c.epochs, term.Epoch)
 			c.mu.Unlock()
-			<-ctx.Done()
+			g.lead(ctx, c, term)
 			return nil
 		},
 		Probe: func(_ context.Context, address string) (string, error) {
-			if _, ended := g.ended.Load(address); ended {
-				return "", nil
+			if holder, ended := g.ended.Load(address); ended {
+				return holder.(string), nil
 			}
 			return "", errors.New("no response")
 		},
@@ -141,7 +220,7 @@
 		first := g.owners()[0]
 		first.handle.SetFault(dropCall)
 		first.cancel()
-		g.ended.Store(first.manager.opts.Address, true)
+		g.ended.Store(first.manager.opts.Address, "")
 		time.Sleep(1300 * time.Millisecond)
 		assert.Equal(t, len(g.owners()), 1)
 		assert.Assert(t, g.owners()[0] != first)
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -30,9 +30,9 @@
 		next, version := m.lease, m.leaseVersion
 		m.mu.Unlock()
 		next.Renewal++
-		next.Successors, next.ValidMS = m.successors(), timing.validity.Milliseconds()
+		next.Successors, next.ValidMS, next.StartsMS = m.successors(), timing.validity.Milliseconds(), timing.startLimit.Milliseconds()
 		sent = m.opts.Now()
-		m.capValidity(sent + next.validFor())
+		m.capValidity(sent, next)
 		if !retrying {
 			firstSent = sent
 		}
@@ -72,12 +72,13 @@
 	return led > maxHandoverWait || led > minTerm && renewalTook < maxHandoverLatency
 }
 
-// capValidity ends the ownership no later than until. The others act on a shorter validity as soon as they read it, possibly
-// before the renewal that shortens it is answered here.
-func (m *Manager) capValidity(until time.Duration) {
+// capValidity ends the ownership no later than a renewal that is sent now allows. The others act on a shorter validity as soon as
+// they read it, possibly before the renewal that shortens it is answered here.
+func (m *Manager) capValidity(sent time.Duration, l Lease) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.validUntil = min(m.validUntil, until)
+	m.validUntil = min(m.validUntil, sent+l.validFor())
+	m.startsUntil = min(m.startsUntil, sent+l.startsFor())
 }
 
 // validFor returns how long the holder acts after it sent the renewal: ValidMS, or fullValidity if that is out of range.
@@ -89,9 +90,19 @@
 	return d
 }
 
-// renewalTiming is the validity of a renewal, its interval from the previous one, and the hedge: the time without a response
-// after which it is sent again.
-type renewalTiming struct{ validity, interval, hedge time.Duration }
+// startsFor returns how long after it sent the renewal a job may arrive at the holder at the latest for the holder to start it:
+// StartsMS, or validFor if that is absent or out of range.
+func (l Lease) startsFor() time.Duration {
+	d := time.Duration(l.StartsMS) * time.Millisecond
+	if d <= 0 || d > l.validFor() {
+		return l.validFor()
+	}
+	return d
+}
+
+// renewalTiming is the validity of a renewal and the limit for the arrival of jobs that are started, its interval from the previous
+// one, and the hedge: the time without a response after which it is sent again.
+type renewalTiming struct{ validity, startLimit, interval, hedge time.Duration }
 
 // renewalPolicy selects the timing of renewals: the short one after minPromptRenewals prompt renewals in a row, else the full
 // one. promptStreak counts the prompt renewals since the last other one.
@@ -107,9 +118,9 @@
 // next returns the timing of the next renewal; hedge applies to one for fullValidity.
 func (p *renewalPolicy) next(hedge time.Duration) renewalTiming {
 	if p.promptStreak >= minPromptRenewals {
-		return renewalTiming{shortValidity, shortInterval, shortHedge}
+		return renewalTiming{shortValidity, shortStartLimit, shortInterval, shortHedge}
 	}
-	return renewalTiming{fullValidity, fullInterval, hedge}
+	return renewalTiming{fullValidity, fullValidity, fullInterval, hedge}
 }
 
 // hedgeDelay returns the hedge of the next renewal, given how long the last one took.
@@ -122,7 +133,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lease, m.leaseVersion, m.changedAt = l, max(version, m.leaseVersion), m.opts.Now()
-	m.validUntil, m.confirmedAt = sent+l.validFor(), sent
+	m.validUntil, m.startsUntil, m.confirmedAt = sent+l.validFor(), sent+l.startsFor(), sent
 	m.storeSeenAt = m.opts.Now()
 }
 
