--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -18,6 +18,8 @@
 	candidate int
 	fault     string
 	slow      time.Duration
+	// unreachable candidates do not answer the probes of others.
+	unreachable bool
 }
 
 // faultNames are the faults of one candidate's calls, either of reads and writes or of writes only.
@@ -47,20 +49,22 @@
 func drawSteps(rt *rapid.T, candidates int) []faultStep {
 	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) faultStep {
 		return faultStep{
-			delay:     time.Duration(rapid.IntRange(10, 4000).Draw(rt, "after ms")) * time.Millisecond,
-			candidate: rapid.IntRange(0, candidates-1).Draw(rt, "member"),
-			fault:     rapid.SampledFrom(faultNames).Draw(rt, "fault"),
-			slow:      rapid.SampledFrom([]time.Duration{0, 0, 0, 100, 400, 800}).Draw(rt, "slow ms") * time.Millisecond,
+			delay:       time.Duration(rapid.IntRange(10, 4000).Draw(rt, "after ms")) * time.Millisecond,
+			candidate:   rapid.IntRange(0, candidates-1).Draw(rt, "member"),
+			fault:       rapid.SampledFrom(faultNames).Draw(rt, "fault"),
+			unreachable: rapid.Bool().Draw(rt, "unreachable"),
+			slow:        rapid.SampledFrom([]time.Duration{0, 0, 0, 100, 400, 800}).Draw(rt, "slow ms") * time.Millisecond,
 		}
 	}), 1, 25).Draw(rt, "events")
 }
 
-// runSteps runs the steps and returns a violation: more than one owner at any time, or not exactly one after all faults have
-// ended. It returns "" if there was none.
+// runSteps runs the steps and returns a violation: more than one owner at any time, not exactly one after all faults have ended, or
+// a cutoff after which a former owner could start a job. It returns "" if there was none.
 func runSteps(t *testing.T, names []string, steps []faultStep) (violation string) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, names...)
 		g.successors.Store(&names)
+		go g.changeRows(t)
 		watch := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				if n := len(g.owners()); n > 1 && violation == "" {
@@ -73,6 +77,11 @@
 			watch(step.delay)
 			g.candidates[step.candidate].handle.SetFault(faultFunc(step.fault))
 			g.store.SetSlow(step.slow)
+			if address := g.candidates[step.candidate].manager.opts.Address; step.unreachable {
+				g.unreachable.Store(address, true)
+			} else {
+				g.unreachable.Delete(address)
+			}
 		}
 		for _, c := range g.candidates {
 			c.handle.SetFault(nil)
@@ -83,6 +92,9 @@
 		if n := len(g.owners()); n != 1 && violation == "" {
 			violation = fmt.Sprintf("%d owners after all faults have ended", n)
 		}
+		if wrong := wrongCutoff(g.stop()); wrong != "" && violation == "" {
+			violation = wrong
+		}
 	})
 	return violation
 }
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -14,6 +14,7 @@
 
 // Run observes the lease, takes it when it is free, and leads while this process holds it, until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	defer m.cutoffReads.Wait()
 	var after uint64
 	full, outage := true, false
 	for ctx.Err() == nil {
@@ -43,6 +44,7 @@
 			continue
 		}
 		m.probe(ctx)
+		m.startCutoffRead(ctx)
 		if m.shouldTakeOver() {
 			m.takeOver(ctx)
 			full = true
@@ -67,6 +69,9 @@
 	case m.silentProbes < maxSilentProbes:
 		next = min(next, max(m.changedAt+probeAfter, m.answeredProbeAt+changesWait))
 	}
+	if due, ok := m.cutoffDueAt(); ok {
+		next = min(next, due)
+	}
 	return min(changesWait, max(minChangesWait, next-m.opts.Now()))
 }
 
@@ -146,7 +151,7 @@
 	m.storeSeenAt = now
 	switch gap := sent - m.observedUntil; {
 	case !m.observed:
-		m.changedAt = now
+		m.changedAt, m.renewalSeenAt = now, now
 	case gap > maxReadGap+changesWait:
 		m.changedAt = max(m.changedAt, now+graceAfterGap-m.lease.validFor()-takeoverMargin)
 		m.inGrace, m.silentProbes = true, 0
@@ -177,7 +182,10 @@
 			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
 		}).Info("owner changed")
 	}
-	m.lease, m.leaseVersion, m.changedAt = l, r.Version, now
+	if l.Epoch != m.lease.Epoch || m.leaseVersion == 0 || l.Holder == "" {
+		m.epochSeenAt = now
+	}
+	m.lease, m.leaseVersion, m.changedAt, m.renewalSeenAt = l, r.Version, now, now
 	m.inGrace, m.silentProbes = false, 0
 }
 
@@ -210,7 +218,7 @@
 	m.opts.Log.WithFields(log.Fields{"owner": l.Holder, "epoch": l.Epoch, "answered": holder}).Info("process of the owner has ended, treating its lease as free")
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endedHolder = l.Holder
+	m.endedHolder, m.replaced = l.Holder, holder != ""
 }
 
 // recordSilentProbe counts a probe that the owner did not answer. After maxSilentProbes in a row the owner is taken to be lost or cut
