--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -375,7 +375,7 @@
 	}
 	remaining := float64(e.free().CPUMilli-spec.Size.CPUMilli) / float64(max(e.info.Capacity.CPUMilli, 1))
 	if !spec.LongRunning {
-		return penalty + remaining
+		return penalty + remaining + t.job.domain.distance(e)
 	}
 	if e.cordonExpected {
 		penalty += leavingPenalty
@@ -403,6 +403,7 @@
 	t.run, t.percent, t.pace, t.inheritedStopDeadline = run, 0, 100, 0
 	t.respondedAt = never
 	e.attach(t)
+	t.job.domain.join(t, e)
 	if t.suspect() {
 		e.suspect = t
 	}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -215,6 +215,8 @@
 	version     uint64
 	dirty       bool
 	writeQueued bool
+	// domain is where its finite tasks are placed.
+	domain failureDomain
 	// placedTasks is the number of its tasks on executors.
 	placedTasks int
 	// expiryQueued is set once the job is in Core.expired, so that its rows can be removed.
