--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -50,6 +50,9 @@
 			origin = originOf(oldest[r.Name], recorded, l.term.AcceptedAfter)
 		}
 		l.applyJob(now, r, origin)
+		if former := l.term.FormerFenceVersion; origin == originInherited && former > 0 && oldest[r.Name] > former {
+			l.core.SetAcceptedInTerm(r.Name, l.term.Epoch-1)
+		}
 	}
 }
 
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -149,6 +149,9 @@
 	// AcceptedAfter is a version of the store that is certainly later than any job that a former owner may have started: no former
 	// owner starts a job of which all rows have a higher version. 0 means that no such version is known.
 	AcceptedAfter uint64
+	// FormerFenceVersion is the version of the fence of the former owner: jobs of which all rows have a higher version were accepted in
+	// its term. 0 means that there was none.
+	FormerFenceVersion uint64
 }
 
 // Options configure a Manager.
@@ -308,7 +311,7 @@
 	}
 	m.mu.Lock()
 	now := m.opts.Now()
-	term := Term{Epoch: next.Epoch, FenceVersion: written, AcceptedAfter: m.cutoff.of(version)}
+	term := Term{Epoch: next.Epoch, FenceVersion: written, AcceptedAfter: m.cutoff.of(version), FormerFenceVersion: fence}
 	fields := log.Fields{
 		"epoch": next.Epoch, "previous": previous.Holder, "released": previous.Released, "version": written,
 		"lease_age_ms": (now - m.changedAt).Milliseconds(), "accepted_after": term.AcceptedAfter,
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -59,6 +59,8 @@
 type waitingJob struct {
 	*job
 	jobRank
+	// settled is set if all its ready tasks may start; otherwise only those of steps that no former owner can have started.
+	settled bool
 }
 
 // jobQueue yields jobs by rank. It is a heap because mostly only the first few are placed, and the rest need not be sorted.
@@ -89,14 +91,14 @@
 }
 
 // waitingJobs returns the jobs of a service with ready tasks, and begins or ends the waits of the service's jobs. Left out are
-// jobs that arrived after arrivedBy, and inherited ones whose tasks may run on executors that have not reported. reconciled says
+// jobs that arrived after arrivedBy, and inherited ones whose ready tasks may all run on executors that have not reported. reconciled says
 // that there are no such executors of the service.
 func (c *Core) waitingJobs(now, arrivedBy time.Duration, service string, reconciled bool) *jobQueue {
 	q := &jobQueue{}
 	allReconciled := reconciled && c.allReconciled()
 	for j := range c.activeJobs[service] {
 		settled := !j.inherited || allReconciled || (reconciled && j.onlyService == service)
-		if j.arrived > arrivedBy || !settled {
+		if j.arrived > arrivedBy || !settled && !j.hasReadyUnstartedStep() {
 			j.beginWait(c.waitClock(service))
 			continue
 		}
@@ -110,7 +112,7 @@
 		}
 		q.minSize = q.minSize.Min(expected.minSize)
 		j.beginWait(c.waitClock(service))
-		q.jobs = append(q.jobs, waitingJob{j, rankOf(now, j)})
+		q.jobs = append(q.jobs, waitingJob{j, rankOf(now, j), settled})
 	}
 	byUrgency := c.ordersByUrgency(q.load(c.capacity(now, service)))
 	for i := range q.jobs {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -73,7 +73,7 @@
 		}
 		for _, o := range j.occs {
 			for _, s := range o.steps {
-				if s.hasReadyTasks() {
+				if s.hasReadyTasks() && (j.settled || s.unstarted) {
 					p.placeStep(s)
 				}
 			}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -164,6 +164,7 @@
 		t.checkpoint = x.Checkpoint
 	}
 	t.job.started = true
+	t.recordUnstartedSteps(x.Run)
 	e.attach(t)
 	fields := map[string]any{"executor": e.info.ID, "run": x.Run}
 	t.previous.addTo(fields)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -146,6 +146,8 @@
 	observedTime time.Duration
 	predicted    time.Duration
 	predictedBy  int
+	// unstarted is set if no former owner can have started a task of the step of an inherited job.
+	unstarted bool
 	// permits is nil until the advice service has responded, and after an executor rejected a permit.
 	permits *permits
 }
@@ -194,6 +196,9 @@
 	submitted time.Duration
 	// inherited is set if the job was accepted before this owner took over. Its tasks may run on unreconciled executors.
 	inherited bool
+	// firstInheritedRun is the number of the first run of each task of an inherited job that was accepted in the term of the former
+	// owner; 0 if it may have been accepted before.
+	firstInheritedRun int
 	// onlyService is the one service on whose executors an earlier owner can have started tasks of an inherited job. It is empty if
 	// there may be others.
 	onlyService string
