--- a/coordinator/cutoff_test.go
+++ b/coordinator/cutoff_test.go
@@ -29,11 +29,18 @@
 	assert.Equal(t, originOf(101, false, 0), originInherited)
 }
 
+// cutKind is what the owner loses beside the writes to the store.
+type cutKind struct{ reads, hosts bool }
+
+// cutKinds are a data centre that is cut off, and two ways in which a store turns a host away.
+var cutKinds = map[string]cutKind{"cut": {true, true}, "turned away": {true, false}, "writes refused": {}}
+
 // cutOff cuts the owner off from the store, and from half of the n executors: those it keeps are out of reach of the other hosts.
-// The owner goes on reading if readsToo is not set. heal ends it.
-func (c *cluster) cutOff(owner *host, n int, readsToo bool) (heal func()) {
+// heal ends it.
+func (c *cluster) cutOff(owner *host, n int, kind cutKind) (heal func()) {
+	owner.cutOff.Store(kind.hosts)
 	owner.handle.SetFault(func(write bool) rows.Fault {
-		if write || readsToo {
+		if write || kind.reads {
 			return rows.Refuse
 		}
 		return rows.None
@@ -47,6 +54,7 @@
 	}
 	return func() {
 		owner.handle.SetFault(nil)
+		owner.cutOff.Store(false)
 		for _, h := range c.hosts {
 			h.unreachable.Clear()
 		}
@@ -57,14 +65,14 @@
 // leases on the executors there have expired although the former owner cannot have started them, and against jobs that both owners
 // start.
 func TestJobsAcceptedSinceTheOwnerWasCutOffStartAtOnce(t *testing.T) {
-	for name, readsToo := range map[string]bool{"writes": false, "all calls": true} {
+	for name, kind := range cutKinds {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
 				const executors, interval = 12, 50 * time.Millisecond
 				c := newCluster(t, 3, executors)
 				// By now the store counts as prompt, so that the short limit applies.
 				time.Sleep(8 * time.Second)
-				c.cutOff(c.ownerHost(), executors, readsToo)
+				c.cutOff(c.ownerHost(), executors, kind)
 				var ids, certain []string
 				began := c.now()
 				for ; c.now() < began+4*time.Second; time.Sleep(interval) {
@@ -100,7 +108,7 @@
 		faults := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) ownerFault {
 			return ownerFault{
 				after:    time.Duration(rapid.IntRange(0, 3000).Draw(rt, "after ms")) * time.Millisecond,
-				kind:     rapid.SampledFrom([]string{"cut writes", "cut", "cut", "restart", "unreachable", "late orders", "late writes", "kill"}).Draw(rt, "kind"),
+				kind:     rapid.SampledFrom([]string{"writes refused", "cut", "turned away", "restart", "unreachable", "late orders", "late writes", "kill"}).Draw(rt, "kind"),
 				executor: rapid.IntRange(0, 5).Draw(rt, "executor"),
 				lasts:    time.Duration(rapid.IntRange(500, 9000).Draw(rt, "lasts ms")) * time.Millisecond,
 			}
@@ -165,7 +173,7 @@
 			killed++
 			c.kill(owner)
 		default:
-			time.AfterFunc(f.lasts, c.cutOff(owner, executors, f.kind == "cut"))
+			time.AfterFunc(f.lasts, c.cutOff(owner, executors, cutKinds[f.kind]))
 		}
 	}
 	submitFor(4 * time.Second)
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -171,6 +171,8 @@
 	stall                                func()
 	machineDelay, stopTimeout, retention time.Duration
 	hosts                                []*host
+	// byName holds the hosts by their name, which is their address too.
+	byName sync.Map
 
 	logMu    sync.Mutex
 	logLines []string
@@ -200,6 +202,11 @@
 type host struct {
 	name   string
 	killed atomic.Bool
+	// cutOff is set while other hosts cannot reach this one.
+	cutOff  atomic.Bool
+	contact *ownership.Contact
+	// peersAnswered holds when the store answered the hosts that have called this one, by name.
+	peersAnswered sync.Map
 	// unreachable holds the IDs of executors that the host cannot reach.
 	unreachable sync.Map
 	handle      *rows.Handle
@@ -332,6 +339,8 @@
 
 func (c *cluster) startHost(name string) *host {
 	h := &host{name: name, handle: c.store.Handle(), done: make(chan struct{})}
+	h.contact = ownership.NewContact(h.handle, c.now)
+	c.byName.Store(name, h)
 	logger := &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
 		if _, owner := e.Fields["epoch"]; owner && c.stall != nil {
 			c.stall()
@@ -340,14 +349,16 @@
 		return nil
 	}), Level: log.InfoLevel}
 	h.coordinator = New(Options{
-		Store: h.handle, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
+		Store: h.contact, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, ArrivalLimit: func() time.Duration { return h.manager.ArrivalLimit() },
 		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
 		Retention: c.retention,
 	})
 	h.manager = ownership.New(ownership.Options{
-		Store: h.handle, Holder: name, Address: name, Preference: 1, Now: c.now, Log: logger, Lead: h.coordinator.Lead,
+		Store: h.contact, Holder: name, Name: name, Address: name, Preference: 1, Now: c.now, Log: logger, Lead: h.coordinator.Lead,
+		NewHolder: func() string { return fmt.Sprintf("%s at %s", name, c.now()) }, StoreAnswered: h.contact.Answered, PeersAnswered: h.answeredPeers,
+		Probe: func(_ context.Context, address string) (string, error) { return c.probe(h, address) }, Successors: func() []string { return c.otherHosts(name) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -358,6 +369,41 @@
 	return h
 }
 
+// probe returns the current holder at a host to another one, unless either is cut off.
+func (c *cluster) probe(from *host, address string) (string, error) {
+	found, ok := c.byName.Load(address)
+	if !ok {
+		return "", errors.New("unknown host")
+	}
+	to := found.(*host)
+	if to.killed.Load() || to.cutOff.Load() || from.cutOff.Load() {
+		return "", errors.New("no response")
+	}
+	to.peersAnswered.Store(from.name, from.contact.Answered())
+	return to.manager.Holder(), nil
+}
+
+// answeredPeers returns when the store answered the hosts that have called this one.
+func (h *host) answeredPeers() (times []time.Duration) {
+	h.peersAnswered.Range(func(_, at any) bool {
+		times = append(times, at.(time.Duration))
+		return true
+	})
+	return times
+}
+
+// otherHosts returns the names of the other hosts.
+func (c *cluster) otherHosts(name string) (names []string) {
+	c.byName.Range(func(other, _ any) bool {
+		if other != name {
+			names = append(names, other.(string))
+		}
+		return true
+	})
+	slices.Sort(names)
+	return names
+}
+
 // kill stops a host as a crash does: neither the executors nor the store receive anything from it any more.
 func (c *cluster) kill(h *host) {
 	h.killed.Store(true)
--- a/node/node.go
+++ b/node/node.go
@@ -55,11 +55,8 @@
 
 // Node is the running process of an entry host.
 type Node struct {
-	settings *settings.Node
-	log      log.Interface
-	// holder identifies this run of the process as a holder of the lease.
-	holder string
-
+	settings    *settings.Node
+	log         log.Interface
 	store       rowStore
 	frontend    *frontend.Frontend
 	coordinator *coordinator.Coordinator
@@ -114,10 +111,11 @@
 }
 
 func newNode(s *settings.Node, t *telemetry.Telemetry, store rowStore) *Node {
+	contact := ownership.NewContact(store, elapsed.Now)
 	n := &Node{
-		settings: s, log: t.Log, store: store,
-		holder: s.ID + "/" + uuid.NewString(),
+		settings: s, log: t.Log, store: contact,
 	}
+	newHolder := func() string { return s.ID + "/" + uuid.NewString() }
 	options := coordinator.Options{
 		Store: n.store, Directory: platform.Directory{}, Executors: platform.NewExecutors(),
 		Machines: platform.NewMachines(s.MachineAddress, func() bool { return n.manager.OwnsJobs() }), Holder: s.ID,
@@ -132,12 +130,13 @@
 		options.Advice = advice
 	}
 	n.coordinator = coordinator.New(options)
-	n.peers = newPeers(peer{name: s.ID, dataCentre: s.DataCentre, cpuShare: s.CPUShare}, elapsed.Now)
+	n.peers = newPeers(peer{name: s.ID, dataCentre: s.DataCentre, cpuShare: s.CPUShare}, elapsed.Now, contact.Answered)
 	owner := newOwnerClient(n.coordinator, func() string { return n.manager.OwnerAddress() }, s.InternalListen, n.peers)
 	n.manager = ownership.New(ownership.Options{
-		Store: n.store, Holder: n.holder, Name: s.ID, Address: s.InternalListen, Preference: min(s.CPUShare, 1),
+		Store: n.store, Holder: newHolder(), NewHolder: newHolder, Name: s.ID, Address: s.InternalListen, Preference: min(s.CPUShare, 1),
 		Now: elapsed.Now, Log: t.Log, Lead: n.coordinator.Lead, Probe: owner.probe, Successors: n.peers.successors,
-		Outranked: n.peers.outranked,
+		Outranked: n.peers.outranked, StoreAnswered: contact.Answered, PeersAnswered: n.peers.storeAnswered,
+		Metrics: ownership.NewMetrics(t.Registry),
 	})
 	n.frontend = frontend.New(frontend.Options{
 		Store: n.store, Owner: owner,
@@ -266,7 +265,7 @@
 func (n *Node) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(schedulev1connect.NewScheduleServiceHandler(
-		&scheduleServer{n.coordinator, n.frontend, n.holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor())))
+		&scheduleServer{n.coordinator, n.frontend, n.manager.Holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor())))
 	return mux
 }
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -137,12 +137,13 @@
 type scheduleServer struct {
 	coordinator *coordinator.Coordinator
 	frontend    *frontend.Frontend
-	holder      string
+	// holder returns what identifies this process as a holder of the lease.
+	holder func() string
 }
 
 // Holder implements ScheduleService.
 func (s *scheduleServer) Holder(context.Context, *connect.Request[schedulev1.HolderRequest]) (*connect.Response[schedulev1.HolderResponse], error) {
-	return connect.NewResponse(&schedulev1.HolderResponse{Holder: s.holder}), nil
+	return connect.NewResponse(&schedulev1.HolderResponse{Holder: s.holder()}), nil
 }
 
 // probe returns the holder that serves at an address, or "" if connections to the address are refused.
--- a/node/peers.go
+++ b/node/peers.go
@@ -19,6 +19,8 @@
 	hostHeader       = "Tamarack-Host"
 	dataCentreHeader = "Tamarack-Data-Centre"
 	cpuShareHeader   = "Tamarack-Cpu-Share"
+	// storeAgeHeader is how long ago the newest call to the store was sent that got a response, in milliseconds.
+	storeAgeHeader = "Tamarack-Store-Age-Ms"
 )
 
 // peerTTL is how long after its last call a host counts as live. Under usual load, hosts query the owner for the status of
@@ -35,19 +37,23 @@
 	// cpuShare is the number of cores that the host may use.
 	cpuShare float64
 	lastSeen time.Duration
+	// storeAnswered is when the newest call of the host to the store was sent that got a response; 0 if unknown.
+	storeAnswered time.Duration
 }
 
 // peers keeps the hosts that recently called this one. While this host is the owner, it chooses its successors from them.
 type peers struct {
 	self peer
 	now  func() time.Duration
+	// answered is the storeAnswered of this host.
+	answered func() time.Duration
 
 	mu     sync.Mutex
 	byName map[string]peer
 }
 
-func newPeers(self peer, now func() time.Duration) *peers {
-	return &peers{self: self, now: now, byName: make(map[string]peer)}
+func newPeers(self peer, now, answered func() time.Duration) *peers {
+	return &peers{self: self, now: now, answered: answered, byName: make(map[string]peer)}
 }
 
 // setHeaders adds the description of this host to the headers of a call.
@@ -55,10 +61,13 @@
 	h.Set(hostHeader, p.self.name)
 	h.Set(dataCentreHeader, p.self.dataCentre)
 	h.Set(cpuShareHeader, strconv.FormatFloat(p.self.cpuShare, 'g', -1, 64))
+	if at := p.answered(); at != 0 {
+		h.Set(storeAgeHeader, strconv.FormatInt((p.now()-at).Milliseconds(), 10))
+	}
 }
 
 // recordCaller stores the description of the host that made a call. A malformed CPU share counts as 0, so that the host is
-// the last choice as a successor.
+// the last choice as a successor. Without a valid age, as from hosts of former versions, it is not known when the store answered.
 func (p *peers) recordCaller(h http.Header) {
 	name := h.Get(hostHeader)
 	if name == "" {
@@ -70,7 +79,23 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.byName[name] = peer{name: name, dataCentre: h.Get(dataCentreHeader), cpuShare: share, lastSeen: p.now()}
+	caller := peer{name: name, dataCentre: h.Get(dataCentreHeader), cpuShare: share, lastSeen: p.now()}
+	if age, err := strconv.ParseUint(h.Get(storeAgeHeader), 10, 31); err == nil {
+		// The milliseconds of the header are rounded down.
+		caller.storeAnswered = max(p.byName[name].storeAnswered, caller.lastSeen-time.Duration(age+1)*time.Millisecond)
+	}
+	p.byName[name] = caller
+}
+
+// storeAnswered returns, for each live host, when its newest call to the store was sent that got a response, as far as known.
+func (p *peers) storeAnswered() []time.Duration {
+	var times []time.Duration
+	for _, host := range p.live() {
+		if host.storeAnswered > 0 {
+			times = append(times, host.storeAnswered)
+		}
+	}
+	return times
 }
 
 // successors returns the names of the hosts that should take over from this host, best first.
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -31,10 +31,11 @@
 // makes a host the first choice.
 func TestSuccessorsAreHostsThatCalledLately(t *testing.T) {
 	now := time.Duration(0)
-	p := newPeers(peer{name: "own", dataCentre: "own"}, func() time.Duration { return now })
+	unknown := func() time.Duration { return 0 }
+	p := newPeers(peer{name: "own", dataCentre: "own"}, func() time.Duration { return now }, unknown)
 	call := func(name, share string) {
 		h := http.Header{}
-		newPeers(peer{name: name, dataCentre: "x"}, nil).setHeaders(h)
+		newPeers(peer{name: name, dataCentre: "x"}, nil, unknown).setHeaders(h)
 		if share != "" {
 			h.Set(cpuShareHeader, share)
 		}
@@ -52,10 +53,29 @@
 // Guards against changes of the owner between hosts with similar CPU shares.
 func TestOnlyMuchStrongerHostsOutrank(t *testing.T) {
 	for share, want := range map[float64]bool{0.2: false, 0.39: false, 0.4: true, 0.8: true} {
-		p := newPeers(peer{name: "own", cpuShare: 0.2}, func() time.Duration { return 0 })
+		zero := func() time.Duration { return 0 }
+		p := newPeers(peer{name: "own", cpuShare: 0.2}, zero, zero)
 		h := http.Header{}
-		newPeers(peer{name: "x", cpuShare: share}, nil).setHeaders(h)
+		newPeers(peer{name: "x", cpuShare: share}, zero, zero).setHeaders(h)
 		p.recordCaller(h)
 		assert.Equal(t, p.outranked(), want, "%v", share)
 	}
 }
+
+// Guards against a store age that looks fresher than it is, because it is counted from the wrong clock, is malformed, or comes late.
+func TestStoreAgesOfCallers(t *testing.T) {
+	now, answered := 9*time.Second, 8500*time.Millisecond
+	clock := func() time.Duration { return now }
+	caller := newPeers(peer{name: "x"}, func() time.Duration { return now + time.Hour }, func() time.Duration { return answered + time.Hour })
+	p := newPeers(peer{name: "own"}, clock, clock)
+	late := http.Header{}
+	caller.setHeaders(late)
+	assert.Equal(t, late.Get(storeAgeHeader), "500")
+	p.recordCaller(late)
+	assert.DeepEqual(t, p.storeAnswered(), []time.Duration{answered - time.Millisecond})
+	for _, age := range []string{"", "-5", "1e9", "99999999999999999999"} {
+		late.Set(storeAgeHeader, age)
+		p.recordCaller(late)
+		assert.Equal(t, len(p.storeAnswered()), 0, age)
+	}
+}
--- a/ownership/cutoff.go
+++ b/ownership/cutoff.go
@@ -67,7 +67,7 @@
 	}
 	l := m.lease
 	// The Holder of a lease that could not be decoded is empty.
-	stopped := l.Holder != "" && (l.Released || l.Holder == m.opts.Holder || l.Holder == m.endedHolder && m.replaced)
+	stopped := l.Holder != "" && (l.Released || l.Holder == m.holder || l.Holder == m.endedHolder && m.replaced)
 	return max(formerStartsEndAt(leaseObservation{l, m.changedAt, m.epochSeenAt, stopped}), m.cutoffRetryAt), true
 }
 
--- a/ownership/cutoff_test.go
+++ b/ownership/cutoff_test.go
@@ -55,7 +55,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := newGroup(t, "a", "b", "c")
+				names := []string{"a", "b", "c"}
+				g := newGroup(t, names...)
+				g.successors.Store(&names)
 				go g.changeRows(t)
 				time.Sleep(tc.led)
 				first := g.owners()[0]
@@ -64,9 +66,6 @@
 				terms := g.stop()
 				assert.Equal(t, len(terms), 2, "%+v", terms)
 				former, later := terms[0], terms[1]
-				if former.Epoch > later.Epoch {
-					former, later = later, former
-				}
 				assert.Equal(t, wrongCutoff(terms), "")
 				if tc.limit == 0 {
 					assert.Equal(t, later.AcceptedAfter, uint64(0))
--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -62,6 +62,7 @@
 		g := newGroup(t, names...)
 		g.successors.Store(&names)
 		go g.changeRows(t)
+		g.stopTime = 150 * time.Millisecond
 		watch := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				if n := len(g.owners()); n > 1 && violation == "" {
--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -62,6 +63,9 @@
 	if due, ok := m.cutoffDueAt(); ok {
 		next = min(next, due)
 	}
+	if due, ok := m.earlyProbeDueAt(); ok && m.mayProbeAt(due) {
+		next = min(next, due)
+	}
 	return min(changesWait, max(minChangesWait, next-m.opts.Now()))
 }
 
@@ -143,9 +147,14 @@
 func (m *Manager) probe(ctx context.Context) {
 	m.mu.Lock()
 	l := m.lease
-	shouldProbe := m.opts.Probe != nil && m.observed && !m.owns && !m.withdrawn && m.leaseVersion != 0 && !l.Released &&
-		l.Holder != m.opts.Holder && l.Holder != m.endedHolder && (m.opts.Now()-m.changedAt > probeAfter || !m.probed)
+	now := m.opts.Now()
+	overdue := now-m.changedAt > probeAfter || !m.probed
+	due, early := m.earlyProbeDueAt()
+	shouldProbe := m.mayProbe() && m.mayProbeAt(now) && (overdue || early && now >= due)
 	m.probed = m.probed || shouldProbe
+	if shouldProbe {
+		m.probedAt = now
+	}
 	m.mu.Unlock()
 	if !shouldProbe {
 		return
@@ -153,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	holder, err := m.opts.Probe(ctx, l.Address)
-	if err != nil || holder == l.Holder {
+	if err != nil || holder == l.Holder || holder == "" && !overdue {
 		return
 	}
 	m.opts.Log.WithFields(log.Fields{"owner": l.Holder, "epoch": l.Epoch, "answered": holder}).Info("process of the owner has ended, treating its lease as free")
@@ -162,6 +171,27 @@
 	m.endedHolder, m.replaced = l.Holder, holder != ""
 }
 
+// mayProbe reports whether the lease has another holder that may still run; the caller holds the lock.
+func (m *Manager) mayProbe() bool {
+	l := m.lease
+	return m.opts.Probe != nil && m.observed && !m.owns && !m.withdrawn && m.leaseVersion != 0 && !l.Released && l.Holder != m.holder && l.Holder != m.endedHolder
+}
+
+// mayProbeAt reports whether a probe at a time is over before the lease expires: one without a response must not delay the takeover. The
+// first one is made in any case. The caller holds the lock.
+func (m *Manager) mayProbeAt(at time.Duration) bool {
+	return at+probeTimeout <= m.leaseExpiresAt() || !m.probed
+}
+
+// earlyProbeDueAt returns when a named successor asks the owner's process next, and false for other candidates and if renewals may
+// come less often. The probes also tell the owner that the store serves this host. The caller holds the lock.
+func (m *Manager) earlyProbeDueAt() (time.Duration, bool) {
+	if !m.mayProbe() || m.lease.validFor() > shortValidity || !slices.Contains(m.lease.Successors, m.opts.Name) {
+		return 0, false
+	}
+	return max(m.changedAt+earlyProbeAfter, m.probedAt+earlyProbeInterval), true
+}
+
 // leaseFree reports whether this process may take the lease; the caller holds the lock.
 func (m *Manager) leaseFree() bool {
 	if m.withdrawn || m.owns || !m.observed {
@@ -173,7 +203,7 @@
 	if m.lease.Holder == m.endedHolder {
 		return true
 	}
-	if m.lease.Holder == m.opts.Holder {
+	if m.lease.Holder == m.holder {
 		// An earlier takeover by this process was applied although its response was lost.
 		return true
 	}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -96,6 +96,11 @@
 	// probeAfter is how long the lease must not have changed before the owner's process is asked whether it still runs. It is
 	// longer than fullInterval.
 	probeAfter = 750 * time.Millisecond
+	// earlyProbeAfter is the same for the successors that the owner names, while renewals come each shortInterval, and
+	// earlyProbeInterval the time between their probes. A refused connection counts only after probeAfter: the network may refuse it
+	// while the owner still starts jobs.
+	earlyProbeAfter    = 450 * time.Millisecond
+	earlyProbeInterval = 100 * time.Millisecond
 	// probeTimeout bounds that call.
 	probeTimeout = 200 * time.Millisecond
 	// retryPause is the pause after a failed call.
@@ -151,6 +156,12 @@
 	Holder  string
 	Name    string
 	Address string
+	// NewHolder returns a Holder for the time after a resignation. If it is nil, this process never resigns.
+	NewHolder func() string
+	// StoreAnswered returns when the newest call of this process to the store was sent that got a response, PeersAnswered the same
+	// for each other live host, on the clock of Now.
+	StoreAnswered func() time.Duration
+	PeersAnswered func() []time.Duration
 	// Preference is from 0 to 1; candidates with a higher one take over earlier. It reflects the host's processor time.
 	Preference float64
 	Now        func() time.Duration
@@ -165,6 +176,8 @@
 	Successors func() []string
 	// Outranked reports whether another host is much more suitable as the owner. It may be nil.
 	Outranked func() bool
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // Manager observes the lease, takes it when it is free, and renews it.
@@ -183,6 +196,8 @@
 	observed      bool
 	// probed is set after the first probe, which a process makes right after its start, without waiting for probeAfter.
 	probed bool
+	// probedAt is when this process last probed.
+	probedAt time.Duration
 	// epochSeenAt is when this process first saw the lease of the current epoch.
 	epochSeenAt time.Duration
 	// cutoff is the newest acceptance cutoff that was read; readingCutoff is set while a read of one is in progress.
@@ -198,6 +213,10 @@
 	startsUntil time.Duration
 	// confirmedAt is when the last successful renewal was sent.
 	confirmedAt time.Duration
+	// holder identifies this process as a holder of the lease; see Holder.
+	holder string
+	// failed describes the attempts to renew the lease that failed.
+	failed failedRenewals
 	// withdrawn is set when this process must no longer take the lease.
 	withdrawn bool
 	// stopLeading ends the leading that goes on, and led is closed when it has ended and the lease is released. Both are nil while
@@ -217,7 +236,7 @@
 }
 
 // New returns a manager that is idle until Run is called.
-func New(opts Options) *Manager { return &Manager{opts: opts} }
+func New(opts Options) *Manager { return &Manager{opts: opts, holder: opts.Holder} }
 
 // OwnsJobs reports whether this process may act as the owner of the jobs now.
 func (m *Manager) OwnsJobs() bool {
@@ -282,8 +301,9 @@
 	m.mu.Lock()
 	m.attemptAt = 0
 	previous, version, fence := m.lease, m.leaseVersion, m.fenceVersion
+	next := Lease{Holder: m.holder, Address: m.opts.Address, Epoch: previous.Epoch + 1, ValidMS: fullValidity.Milliseconds()}
 	m.mu.Unlock()
-	next := Lease{Holder: m.opts.Holder, Address: m.opts.Address, Epoch: previous.Epoch + 1, ValidMS: fullValidity.Milliseconds(), Successors: m.successors()}
+	next.Successors = m.successors()
 	sent := m.opts.Now()
 	written, err := m.write(ctx, next, version, &fence, callTimeout)
 	if err != nil {
@@ -306,6 +326,7 @@
 	m.startsUntil = m.validUntil
 	m.mu.Unlock()
 	m.opts.Log.WithFields(fields).Info("ownership taken")
+	m.opts.Metrics.countTakeover(term.AcceptedAfter != 0)
 	m.lead(ctx, term)
 }
 
@@ -341,6 +362,8 @@
 	defer close(led)
 	m.mu.Lock()
 	m.stopLeading, m.led = stop, led
+	m.failed = failedRenewals{}
+	holder := m.holder
 	if m.withdrawn {
 		stop()
 	}
@@ -352,14 +375,30 @@
 		}
 		stop()
 	}()
-	reason := m.renew(leadCtx)
+	resigned := make(chan bool, 1)
+	go func() {
+		r := m.awaitResignation(leadCtx)
+		resigned <- r
+		if r {
+			stop()
+		}
+	}()
+	reason, timeout := m.renew(leadCtx), callTimeout
 	stop()
 	m.mu.Lock()
 	m.owns = false
 	m.mu.Unlock()
 	<-done
+	if <-resigned {
+		// From here on this process does nothing any more that the former holder might have done.
+		reason, timeout = "resigned", releaseTimeout
+		m.mu.Lock()
+		m.holder = m.opts.NewHolder()
+		m.mu.Unlock()
+		m.opts.Metrics.countResignation()
+	}
 	m.opts.Log.WithFields(log.Fields{"epoch": term.Epoch, "reason": reason}).Info("ownership ended")
-	m.release(term)
+	m.release(term, holder, timeout)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stopLeading, m.led = nil, nil
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -1,9 +1,12 @@
 package ownership
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +16,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/tamarackworks/tamarackworks/elapsed"
@@ -28,8 +32,16 @@
 	successors atomic.Pointer[[]string]
 	outranked  atomic.Pointer[string]
 	candidates []*candidate
+	// byAddress holds the candidates by the address of their process.
+	byAddress sync.Map
 	// ended holds, by address, what Options.Probe returns for processes that have ended: the next holder there, or "".
 	ended sync.Map
+	// hangingProbes makes Options.Probe wait until its context ends.
+	hangingProbes atomic.Bool
+	// silentOwners makes Options.Probe get no response from processes that run, as if their data centre was cut off.
+	silentOwners atomic.Bool
+	// stopTime is how long Options.Lead takes to stop after its context has ended.
+	stopTime time.Duration
 	// silentReads makes reads other than those of changes get no response.
 	silentReads atomic.Bool
 }
@@ -40,15 +52,20 @@
 	handle  *rows.Handle
 	cancel  context.CancelFunc
 	done    chan struct{}
+	contact *Contact
 	mu      sync.Mutex
 	epochs  []uint64
 	terms   []ledTerm
+	// peersAnswered holds when the store answered the candidates that have probed this one, by name.
+	peersAnswered map[string]time.Duration
 }
 
 // ledTerm is a term that a candidate led, and the newest row that could arrive in it for a job to be started.
 type ledTerm struct {
 	Term
 	lastStartable uint64
+	// began and ended are when Options.Lead was called and returned.
+	began, ended time.Time
 }
 
 // arrivingKey is a row that changes all the time.
@@ -67,19 +84,26 @@
 
 // lead records in a term which row could arrive last, until the term ends.
 func (g *group) lead(ctx context.Context, c *candidate, term Term) {
-	led := ledTerm{Term: term}
-	for ctx.Err() == nil {
+	led := ledTerm{Term: term, began: time.Now()}
+	record := func() {
 		if row, _ := g.store.Get(arrivingKey); c.manager.opts.Now() <= c.manager.ArrivalLimit() {
 			led.lastStartable = row.Version
 		}
+	}
+	for ctx.Err() == nil {
+		record()
 		elapsed.Sleep(ctx, arrivalInterval)
 	}
+	for end := time.Now().Add(g.stopTime); time.Now().Before(end); time.Sleep(arrivalInterval) {
+		record()
+	}
+	led.ended = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.terms = append(c.terms, led)
 }
 
-// stop stops all candidates and returns the terms that they led.
+// stop stops all candidates and returns the terms that they led, in order.
 func (g *group) stop() []ledTerm {
 	var terms []ledTerm
 	for _, c := range g.candidates {
@@ -89,6 +113,7 @@
 		<-c.done
 		terms = append(terms, c.terms...)
 	}
+	slices.SortFunc(terms, func(a, b ledTerm) int { return cmp.Compare(a.Epoch, b.Epoch) })
 	return terms
 }
 
@@ -141,10 +166,12 @@
 // join adds a running candidate.
 func (g *group) join(name string) {
 	began := time.Now()
-	c := &candidate{handle: g.store.Handle(), done: make(chan struct{})}
+	c := &candidate{handle: g.store.Handle(), done: make(chan struct{}), peersAnswered: make(map[string]time.Duration)}
+	now := func() time.Duration { return time.Since(began) + time.Minute }
+	c.contact = NewContact(candidateStore{c.handle, &g.silentReads}, now)
 	c.manager = New(Options{
-		Store: candidateStore{c.handle, &g.silentReads}, Holder: name + "/1", Name: name, Address: name, Preference: 1,
-		Now: func() time.Duration { return time.Since(began) },
+		Store: c.contact, Holder: name + "/1", Name: name, Address: name, Preference: 1,
+		Now: now, NewHolder: func() string { return name + "/" + uuid.NewString() }, StoreAnswered: c.contact.Answered, PeersAnswered: c.answeredPeers,
 		Log: &log.Logger{Handler: discard.New()},
 		Lead: func(ctx context.Context, term Term) error {
 			c.mu.Lock()
@@ -153,11 +180,15 @@
 			g.lead(ctx, c, term)
 			return nil
 		},
-		Probe: func(_ context.Context, address string) (string, error) {
+		Probe: func(ctx context.Context, address string) (string, error) {
+			if g.hangingProbes.Load() {
+				<-ctx.Done()
+				return "", ctx.Err()
+			}
 			if holder, ended := g.ended.Load(address); ended {
 				return holder.(string), nil
 			}
-			return "", errors.New("no response")
+			return g.callOwner(address, name, now()-c.contact.Answered())
 		},
 		Successors: func() []string {
 			if names := g.successors.Load(); names != nil {
@@ -170,6 +201,7 @@
 			return outranked != nil && *outranked == name
 		},
 	})
+	g.byAddress.Store(name, c)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	go func() {
@@ -179,6 +211,26 @@
 	g.candidates = append(g.candidates, c)
 }
 
+// callOwner returns the holder at an address to a candidate, and tells the process there how long ago the store answered the candidate.
+func (g *group) callOwner(address, caller string, age time.Duration) (string, error) {
+	found, ok := g.byAddress.Load(address)
+	if !ok || g.silentOwners.Load() {
+		return "", errors.New("no response")
+	}
+	c := found.(*candidate)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peersAnswered[caller] = c.manager.opts.Now() - age
+	return c.manager.Holder(), nil
+}
+
+// answeredPeers implements Options.PeersAnswered.
+func (c *candidate) answeredPeers() []time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.peersAnswered))
+}
+
 // owners returns the candidates that may act as the owner now.
 func (g *group) owners() []*candidate {
 	var owners []*candidate
--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -37,7 +37,7 @@
 			firstSent = sent
 		}
 		r, err := rowstore.Race(ctx, rowstore.RaceOptions{HedgeDelay: timing.hedge}, rowstore.Repeat(renewTries,
-			func(ctx context.Context) (uint64, error) { return m.write(ctx, next, version, nil, renewTimeout) }))
+			func(ctx context.Context) (uint64, error) { return m.attemptRenewal(ctx, next, version) }))
 		var conflict *rowstore.ConflictError
 		if took := m.opts.Now() - sent; took > fullInterval {
 			m.opts.Log.WithFields(log.Fields{"took_ms": took.Milliseconds(), "tries": r.Tries, "epoch": next.Epoch}).Warn("renewal took long")
@@ -54,7 +54,7 @@
 			}
 		case errors.As(err, &conflict):
 			l, v, ok := findLease(conflict.Rows)
-			if !ok || l.Holder != m.opts.Holder || l.Epoch != next.Epoch || l.Released {
+			if !ok || l.Holder != next.Holder || l.Epoch != next.Epoch || l.Released {
 				return "lease taken by " + l.Holder
 			}
 			// An earlier attempt was applied although its response was lost, possibly the first one.
@@ -153,15 +153,15 @@
 
 // release gives up the lease of a term, so that another process need not wait until it expires. It does nothing if this
 // process no longer holds the lease.
-func (m *Manager) release(term Term) {
+func (m *Manager) release(term Term, holder string, timeout time.Duration) {
 	m.mu.Lock()
 	l, version := m.lease, m.leaseVersion
 	m.mu.Unlock()
-	if l.Holder != m.opts.Holder || l.Epoch != term.Epoch {
+	if l.Holder != holder || l.Epoch != term.Epoch {
 		return
 	}
 	l.Released = true
-	if _, err := m.write(context.Background(), l, version, nil, callTimeout); err != nil {
+	if _, err := m.write(context.Background(), l, version, nil, timeout); err != nil {
 		m.opts.Log.WithError(err).Warn("cannot release the lease, it expires on its own")
 	}
 }
--- a/ownership/turn.go
+++ b/ownership/turn.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	now := m.opts.Now()
-	if m.lease.Holder == m.opts.Holder && !m.lease.Released {
+	if m.lease.Holder == m.holder && !m.lease.Released {
 		// An earlier takeover by this process was applied although its response was lost. No other candidate takes the lease
 		// now, so there is nothing to wait for.
 		return true
