--- a/ownership/renew.go
+++ b/ownership/renew.go
@@ -37,7 +37,7 @@
 			firstSent = sent
 		}
 		r, err := rowstore.Race(ctx, rowstore.RaceOptions{HedgeDelay: timing.hedge}, rowstore.Repeat(renewTries,
-			func(ctx context.Context) (uint64, error) { return m.write(ctx, next, version, nil, renewTimeout) }))
+			func(ctx context.Context) (uint64, error) { return m.attemptRenewal(ctx, next, version) }))
 		var conflict *rowstore.ConflictError
 		if took := m.opts.Now() - sent; took > fullInterval {
 			m.opts.Log.WithFields(log.Fields{"took_ms": took.Milliseconds(), "tries": r.Tries, "epoch": next.Epoch}).Warn("renewal took long")
@@ -54,7 +54,7 @@
 			}
 		case errors.As(err, &conflict):
 			l, v, ok := findLease(conflict.Rows)
-			if !ok || l.Holder != m.opts.Holder || l.Epoch != next.Epoch || l.Released {
+			if !ok || l.Holder != next.Holder || l.Epoch != next.Epoch || l.Released {
 				return "lease taken by " + l.Holder
 			}
 			// An earlier attempt was applied although its response was lost, possibly the first one.
@@ -155,14 +155,14 @@
 // release gives up the lease of a term, so that another process need not wait until it expires. It does nothing if this
 // process no longer holds the lease. A renewal that was under way when the term ended may be applied first; the lease at its version is
 // released then.
-func (m *Manager) release(term Term) {
+func (m *Manager) release(term Term, holder string, timeout time.Duration) {
 	m.mu.Lock()
 	l, version := m.lease, m.leaseVersion
 	m.mu.Unlock()
-	for n := 0; l.Holder == m.opts.Holder && l.Epoch == term.Epoch && !l.Released; n++ {
+	for n := 0; l.Holder == holder && l.Epoch == term.Epoch && !l.Released; n++ {
 		released := l
 		released.Released = true
-		_, err := m.write(context.Background(), released, version, nil, callTimeout)
+		_, err := m.write(context.Background(), released, version, nil, timeout)
 		if err == nil {
 			return
 		}
