--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -62,6 +62,7 @@
 	// confirmedAt is when the last order for a machine was confirmed. Lists requested before do not show its effect.
 	confirmedAt map[string]time.Duration
 	arrivals    *pools.Arrivals
+	turns       turnState
 	// unverified holds the executors of machines whose order was confirmed, until a list shows whether the executor is gone.
 	unverified map[string]string
 	// endedIncarnations holds, by executor ID, the incarnations of executors that were ended by an order for their machine,
@@ -78,7 +79,7 @@
 		ordersAllowedAt: firstOrderAt, waves: make(map[string]*pools.Wave), progress: make(map[string]waveProgress),
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
-		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), endedIncarnations: make(map[string]int64),
+		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), turns: newTurnState(), endedIncarnations: make(map[string]int64),
 		unverified: make(map[string]string),
 	}
 }
@@ -136,12 +137,14 @@
 		return
 	}
 	s := l.snapshot(now)
+	l.replayArrivals(now)
 	l.markLeavingExecutors(s)
 	l.updateMachineUsage(now, s)
 	actions := pools.PlanWaves(s)
 	plan := pools.PlanMoves(s, m.arrivals)
 	actions = append(actions, plan.Actions...)
 	l.setYielding(plan.Yielding)
+	l.countForecasts()
 	m.forgetOrders(now - l.opts.MachineDelay - recentOrderMargin)
 	ordered := false
 	for _, a := range actions {
@@ -232,6 +235,7 @@
 	}
 	l.machines.pendingOrders[a.Machine] = a
 	l.machines.lastOrderAt[a.Machine] = now
+	l.countMove(now, a)
 	l.logMachineAction(a, nil)
 	return true
 }
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -25,6 +25,9 @@
 	lag           prometheus.Gauge
 	waits         *prometheus.CounterVec
 	machineTime   *prometheus.CounterVec
+	forecasts     *prometheus.CounterVec
+	returns       *prometheus.CounterVec
+	calledAhead   prometheus.Counter
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 }
@@ -76,9 +79,19 @@
 		machineTime: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_machine_seconds_total", Help: "Time of machines by what they did.",
 		}, []string{"state"}),
+		forecasts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_burst_forecasts_total", Help: "Forecasts of the next burst of a pool, by whether they were right. Those replayed after a takeover count.",
+		}, []string{"result"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_standby_returns_total", Help: "Moves to standby that were planned, and those that were reversed within 5 s.",
+		}, []string{"result"}),
+		calledAhead: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tamarack_machines_called_ahead_total", Help: "Moves that were planned before the burst they are for began.",
+		}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime,
+		m.forecasts, m.returns, m.calledAhead)
 	return m
 }
 
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -61,6 +61,7 @@
 	submitted := now
 	if inherited {
 		submitted -= max(0, time.Duration(l.opts.WallMS()-job.AcceptedUnixMS)*time.Millisecond)
+		l.machines.turns.addPast(&job, submitted)
 	}
 	if first, ok := l.opts.FirstSubmitted(r.Name); ok {
 		submitted = min(submitted, first)
--- a/pools/moves.go
+++ b/pools/moves.go
@@ -21,6 +21,9 @@
 	// lateWeight is the weight of late work as demand, relative to work that can be on time. It is low because most callers no
 	// longer wait for late results.
 	lateWeight = 0.25
+	// calledDelay is how long after a call from standby a pool sends no machine back: until the machine takes tasks, some 0.5 s
+	// after its move.
+	calledDelay = moveTime + 500*time.Millisecond
 	// minShortfall is the smallest shortfall that is worth a move, as a fraction of the machine's CPU.
 	minShortfall = 0.35
 )
@@ -44,6 +47,8 @@
 	shortfall, initialShortfall float64
 	// machineCPU is the CPU of the largest machine of all pools.
 	machineCPU float64
+	// ahead is the part of shortfall that is only there because a burst is about to begin. It is met last.
+	ahead float64
 }
 
 // MovePlan is the result of PlanMoves.
@@ -57,20 +62,23 @@
 // that are not needed to a standby pool, where they cost nothing. This serves queues that in turn have bursts of more work
 // than their pool can run. A machine is moved only when nothing runs on it. Work that can be on time comes first: late work of
 // a pool neither attracts nor keeps machines that another pool needs for it.
+//
+// When pools get bursts in turn and it is certain when the next one begins, machines are called for it ahead of time, idle
+// machines are lent rather than returned, and some are held for it.
 func PlanMoves(s Snapshot, a *Arrivals) MovePlan {
 	a.Observe(s)
 	states, standby := poolStates(s, a)
 	if len(states) == 0 {
 		return MovePlan{}
 	}
-	actions := assignMachines(states, standby)
+	actions := a.assignMachines(s.Now, states, standby)
 	yielding := yieldingMachines(states)
 	for _, p := range states {
 		p.shortfall += lateWeight * float64(p.Late) / backlogClearTime.Seconds()
 	}
-	actions = append(actions, assignMachines(states, standby)...)
+	actions = append(actions, a.assignMachines(s.Now, states, standby)...)
 	if standby != nil {
-		actions = append(actions, moveIdleToStandby(states, standby, actions)...)
+		actions = append(actions, a.moveIdleToStandby(s.Now, states, standby, actions)...)
 	}
 	return MovePlan{actions, yielding}
 }
@@ -152,7 +160,7 @@
 		// machine whose last task has just ended may get the next one, and must not block the others.
 		sort.SliceStable(state.idle, func(a, b int) bool { return state.idle[a].IdleFor > state.idle[b].IdleFor })
 		state.machineCPU = machineCPU
-		state.shortfall = state.demand(a.rate(state.Name)) - state.freeCPU - state.incomingCPU
+		state.shortfall = state.demand(a.turns.rising(s.Now, state.Name, a.rates.rate(state.Name))) - state.freeCPU - state.incomingCPU
 		if missing := state.Spread - state.machines - state.inTransit; missing > 0 {
 			state.shortfall = max(state.shortfall, float64(missing)*state.machineCPU)
 		}
@@ -160,6 +168,11 @@
 			// Requests one machine at a time, since it may take several of the tasks.
 			state.shortfall = max(state.shortfall, state.machineCPU)
 		}
+		if load := a.turns.callsAhead(s.Now, state.Name); load > 0 {
+			present := state.shortfall
+			state.shortfall = max(present, load-state.finiteCPU-state.freeCPU-state.incomingCPU)
+			state.ahead = state.shortfall - max(present, 0)
+		}
 	}
 	return states, standby
 }
@@ -209,8 +222,9 @@
 }
 
 // assignMachines moves machines one at a time to the pool with the largest unmet share of its shortfall, so that the burst of
-// one queue does not take them all. Machines come from standby first, then from pools without a shortfall.
-func assignMachines(states map[string]*poolState, standby *poolState) []Action {
+// one queue does not take them all. Machines come from pools whose burst has ended if this pool's turn comes, then from standby, then
+// from other pools without a shortfall.
+func (a *Arrivals) assignMachines(now time.Duration, states map[string]*poolState, standby *poolState) []Action {
 	var actions []Action
 	candidates := byShortfall(states)
 	for _, p := range candidates {
@@ -219,7 +233,7 @@
 	for len(candidates) > 0 {
 		sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].unmetShare() > candidates[b].unmetShare() })
 		p := candidates[0]
-		m, from, reason := findIdleMachine(p, states, standby)
+		m, from, reason := a.findIdleMachine(p, states, standby)
 		if m == nil {
 			candidates = candidates[1:]
 			continue
@@ -229,7 +243,14 @@
 		from.shortfall += float64(m.Capacity.CPUMilli)
 		p.shortfall -= float64(m.Capacity.CPUMilli)
 		p.incomingCPU += float64(m.Capacity.CPUMilli)
-		actions = append(actions, Action{Kind: ActionMove, Machine: m.ID, Pool: p.Name, Reason: reason})
+		if from == standby {
+			a.calledAt[p.Name] = now
+		}
+		ahead := p.shortfall+float64(m.Capacity.CPUMilli) <= p.ahead
+		if ahead {
+			reason = "burst is about to begin"
+		}
+		actions = append(actions, Action{Kind: ActionMove, Machine: m.ID, Pool: p.Name, Reason: reason, Ahead: ahead})
 	}
 	return actions
 }
@@ -244,41 +265,57 @@
 
 // findIdleMachine returns an idle machine for a pool, the pool that it comes from and the reason of the move. The machine is
 // nil if there is none, or if the shortfall is too small for a move.
-func findIdleMachine(p *poolState, states map[string]*poolState, standby *poolState) (*Machine, *poolState, string) {
+func (a *Arrivals) findIdleMachine(p *poolState, states map[string]*poolState, standby *poolState) (*Machine, *poolState, string) {
 	worthMove := func(m *Machine) bool { return p.shortfall > minShortfall*float64(m.Capacity.CPUMilli) }
-	if standby != nil && len(standby.idle) > 0 && worthMove(standby.idle[0]) {
-		return standby.idle[0], standby, "work waits, machine is in standby"
-	}
-	sources := byShortfall(states)
-	for i := len(sources) - 1; i >= 0; i-- {
-		from := sources[i]
-		if from == p || from.shortfall > 0 || len(from.idle) == 0 || from.machines <= from.minMachines() {
-			continue
+	lend := func(may func(from *poolState) bool) (*Machine, *poolState, string) {
+		sources := byShortfall(states)
+		for i := len(sources) - 1; i >= 0; i-- {
+			from := sources[i]
+			if from == p || from.shortfall > 0 || len(from.idle) == 0 || from.machines <= from.minMachines() || !may(from) {
+				continue
+			}
+			if m := from.idle[0]; worthMove(m) && m.IdleFor >= lendIdleTime && -from.shortfall >= float64(m.Capacity.CPUMilli) {
+				return m, from, "work waits, machine is idle"
+			}
 		}
-		if m := from.idle[0]; worthMove(m) && m.IdleFor >= lendIdleTime && -from.shortfall >= float64(m.Capacity.CPUMilli) {
-			return m, from, "work waits, machine is idle"
+		return nil, nil, ""
+	}
+	if a.turns.expected() != nil {
+		if m, from, reason := lend(func(from *poolState) bool { return a.turns.lends(from.Name, p.Name) }); m != nil {
+			return m, from, reason
 		}
 	}
-	return nil, nil, ""
+	if standby != nil && len(standby.idle) > 0 && worthMove(standby.idle[0]) {
+		return standby.idle[0], standby, "work waits, machine is in standby"
+	}
+	return lend(func(*poolState) bool { return true })
 }
 
 // minMachines returns the number of machines that the pool keeps when idle machines are moved away.
 func (p *poolState) minMachines() int { return max(p.Spread, 1) }
 
 // moveIdleToStandby moves machines to standby that have been idle for standbyIdleTime, in pools without waiting work that do
-// not need them. It leaves out the machines of moves, which are already assigned to another pool.
-func moveIdleToStandby(states map[string]*poolState, standby *poolState, moves []Action) []Action {
+// not need them. It leaves out the machines of moves, which are already assigned to another pool. While bursts can be forecast, machines
+// are held for a burst that is about to begin, and in a pool that has just called some. They are held for the time of a move:
+// a machine that is called back is paid for during a move, so a longer wait would cost more.
+func (a *Arrivals) moveIdleToStandby(now time.Duration, states map[string]*poolState, standby *poolState, moves []Action) []Action {
 	moving := make(map[string]bool, len(moves))
 	for _, a := range moves {
 		moving[a.Machine] = true
 	}
+	held, inTurns := a.turns.holdsIdle(now), a.turns.expected() != nil
 	var actions []Action
 	for _, p := range byShortfall(states) {
+		calledAt, called := a.calledAt[p.Name]
+		justCalled := inTurns && called && now-calledAt < calledDelay
 		for _, m := range p.idle {
 			surplus := -p.shortfall - float64(m.Capacity.CPUMilli)
 			if moving[m.ID] || m.IdleFor < standbyIdleTime || p.machines <= p.minMachines() || surplus < 0 || p.Waiting+p.Late+p.TooLate > 0 {
 				continue
 			}
+			if m.IdleFor < standbyIdleTime+moveTime && (justCalled || held) {
+				continue
+			}
 			p.machines--
 			p.shortfall += float64(m.Capacity.CPUMilli)
 			actions = append(actions, Action{Kind: ActionMove, Machine: m.ID, Pool: standby.Name, Reason: "machine is idle"})
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -124,4 +124,6 @@
 	Pool    string
 	Wave    *Wave
 	Reason  string
+	// Ahead is set for a move for a burst that has yet to begin.
+	Ahead bool
 }
