--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -74,6 +74,10 @@
 	// incomingMachines is the number of machines that are being moved to each service.
 	incomingMachines map[string]int
 
+	// racks holds what is known of racks by name, locality what runs far from their data take.
+	racks    map[string]*rackHealth
+	locality locality
+
 	// permitsRequested holds the steps with a PermitRequest that has no response yet.
 	permitsRequested map[workload.StepID]bool
 }
@@ -87,7 +91,7 @@
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
 		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
-		ordersByUrgency: fitsInTime,
+		ordersByUrgency: fitsInTime, racks: make(map[string]*rackHealth),
 	}
 }
 
@@ -371,6 +375,7 @@
 			c.createDueOccurrences(now, j)
 		}
 	}
+	c.updateSlow(now)
 	for _, e := range c.executors {
 		c.stopStalledTasks(now, e)
 		c.evacuate(now, e)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -100,6 +100,7 @@
 	}
 	t.setState(taskPending)
 	t.percent, t.pace = 0, 100
+	t.waitsForRackSince = 0
 	t.requeues++
 	t.job.retries++
 	if t.step.spec.LongRunning {
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -19,6 +19,7 @@
 	}
 	e.info, e.registered = info, true
 	c.addMember(e)
+	c.joinRack(e, info.Rack)
 	c.dirtyServices[info.Service] = true
 	c.evacuate(now, e)
 }
@@ -102,6 +103,7 @@
 		return false
 	}
 	c.removeMember(e)
+	c.joinRack(e, "")
 	delete(c.executors, id)
 	return true
 }
@@ -142,6 +144,7 @@
 	}
 	c.markReconciled(id)
 	c.removeMember(e)
+	c.joinRack(e, "")
 	delete(c.executors, id)
 }
 
@@ -158,6 +161,7 @@
 func (c *Core) LoseContact(now time.Duration, id string, refused bool) {
 	if e := c.executors[id]; e != nil && e.inContact {
 		e.inContact, e.noContactSince, e.refused = false, now, refused
+		c.goesSilent(now, e)
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -154,6 +154,10 @@
 	// cordoned is the placement that looks for it; nil until the first such task.
 	cordonedFit *executor
 	cordoned    *placement
+	// rackEnds holds, by rack, the expected ends that no task of this pass waits for yet.
+	rackEnds map[string][]time.Duration
+	// waited is set once a task waits for room in the rack of its data.
+	waited bool
 	// allFull is set once no candidate has room for any ready task that is left.
 	allFull bool
 }
@@ -178,6 +182,10 @@
 			return
 		}
 		e := p.chooseExecutor(t, s.spec.Reserved(), "")
+		if e != nil && s.spec.DataRack != "" && e.info.Rack != s.spec.DataRack && !s.spec.LongRunning && p.waitsForRack(t) {
+			p.waited = true
+			continue
+		}
 		if e == nil {
 			if s.spec.LongRunning {
 				p.core.unplaced[t.job.service]++
@@ -367,6 +375,9 @@
 	if _, failed := t.avoidUntil[e.info.ID]; failed || e.failStreak > 0 {
 		penalty += failingPenalty
 	}
+	if e.slow {
+		penalty += slowPenalty
+	}
 	if e.yielding {
 		penalty += yieldingPenalty
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -20,6 +20,7 @@
 		})
 	}
 	e.inContact, e.reportedAt = true, now
+	c.answers(e, sentAt)
 	if !e.reported {
 		e.reported = true
 		c.dirtyServices[e.info.Service] = true
@@ -233,6 +234,7 @@
 		return
 	}
 	if current {
+		c.observeHealth(now, e, t)
 		t.observeRuntime(now)
 	}
 	members := []*task{t}
@@ -268,6 +270,7 @@
 	if e.lastFailed != t.job.spec.ID && !failedElsewhere(t, e) {
 		e.failStreak++
 		e.lastFailed = t.job.spec.ID
+		e.blame(now, lostRunRatio, 1)
 		cooldown := failureCooldown
 		if e.failStreak >= failingThreshold {
 			cooldown = repeatedFailureCooldown
--- a/scheduler/runtimes.go
+++ b/scheduler/runtimes.go
@@ -85,10 +85,15 @@
 	return s.predicted
 }
 
-// observeRuntime records the run time of a task that was done at a time. Left out are runs that an earlier owner started or
-// that resumed from a checkpoint, because they ran longer than this owner has seen.
+// hasRuntime reports whether this owner has seen all of the run of a task that is done. Runs that an earlier owner started or
+// that resumed from a checkpoint ran longer.
+func (t *task) hasRuntime() bool {
+	return t.orderedAt != 0 && t.checkpoint == "" && t.state == taskRunning
+}
+
+// observeRuntime records the run time of a task that was done at a time.
 func (t *task) observeRuntime(now time.Duration) {
-	if t.orderedAt == 0 || t.checkpoint != "" || t.state != taskRunning {
+	if !t.hasRuntime() {
 		return
 	}
 	took := now - t.startedAt
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -66,6 +66,8 @@
 	respondedAt time.Duration
 	// notBefore is the earliest time of the next start.
 	notBefore time.Duration
+	// waitsForRackSince is when the task first waited for room in the rack of its data; 0 if it did not.
+	waitsForRackSince time.Duration
 	// unseen is set while organisation.unseen includes the task.
 	unseen bool
 	// avoidUntil holds the executors on which the task failed or stalled, and until when it is not placed there. The
@@ -148,6 +150,9 @@
 	predictedBy  int
 	// permits is nil until the advice service has responded, and after an executor rejected a permit.
 	permits *permits
+	// doneOn is the first executor on which one of its tasks was done, doneOnSeveral is set if another one followed.
+	doneOn        string
+	doneOnSeveral bool
 }
 
 // ready reports whether all steps that the step depends on are done.
@@ -295,6 +300,11 @@
 	paceChangedAt  time.Duration
 	// tailRatio is the largest tail latency of a serving task relative to its objective, by the last report.
 	tailRatio float64
+	// rack is what is known of its rack, nil if it has none. slow is set while its runs are expected to take much longer than
+	// elsewhere.
+	rack     *rackHealth
+	slowdown slowdown
+	slow     bool
 }
 
 // runs returns the number of tasks on the executor and of runs there that no task needs.
@@ -321,7 +331,7 @@
 
 // acceptsOnceUncordoned reports the same for an executor that is cordoned.
 func (e *executor) acceptsOnceUncordoned(now time.Duration) bool {
-	return e.registered && e.inContact && e.reported && e.unwantedRuns == 0 && !e.info.Draining && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now)
+	return e.registered && e.inContact && e.reported && e.unwantedRuns == 0 && !e.info.Draining && !e.suspended && now >= e.backoffUntil && now >= e.cooldownUntil && !e.testsSuspect(now) && !e.inDarkRack()
 }
 
 // attach places a task on the executor and reserves its resources.
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -121,6 +121,8 @@
 	switch {
 	case !reconciled:
 		return WaitUnreconciled
+	case p.waited:
+		return WaitRoom
 	case len(p.candidates) == 0:
 		return WaitContact
 	case len(p.rejected) == 0 && !p.allFull && p.capped:
