--- a/coordinator/machines_test.go
+++ b/coordinator/machines_test.go
@@ -4,8 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/pools"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -57,3 +59,23 @@
 	_, known = l.executorRecords["x"]
 	assert.Assert(t, !known, "no list names it, its machine is down, and it does not respond")
 }
+
+// Guards against a new owner that does not learn the turns of pools from the jobs that it loads, and against returns to standby that are
+// not counted as reversed.
+func TestANewOwnerLearnsTurnsFromLoadedJobs(t *testing.T) {
+	now := 100 * time.Second
+	l := newTestLeadership(t.Context(), func() time.Duration { return now })
+	l.machines.pools = []workload.Service{{Name: "a"}, {Name: "b"}, {Name: "off", Standby: true}}
+	for at := now - 45*time.Second; at < now; at += 50 * time.Millisecond {
+		pool := []string{"a", "b"}[int(at/(10*time.Second))%2]
+		l.machines.turns.addPast(&workload.Job{Service: pool, Steps: []workload.Step{{Count: 1, Size: workload.Resources{CPUMilli: 1000}, Estimate: 1000}}}, at)
+	}
+	l.replayArrivals(now)
+	right, wrong := l.machines.arrivals.Forecasts()
+	assert.Assert(t, right >= 2 && wrong == 0, "%d right, %d wrong", right, wrong)
+	l.countMove(now, pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "off"})
+	l.countMove(now+4*time.Second, pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "a"})
+	l.countMove(now+4*time.Second, pools.Action{Kind: pools.ActionMove, Machine: "n", Pool: "a", Ahead: true})
+	assert.Equal(t, testutil.ToFloat64(l.opts.Metrics.returns.WithLabelValues("reversed")), 1.0)
+	assert.Equal(t, testutil.ToFloat64(l.opts.Metrics.calledAhead), 1.0)
+}
--- a/pools/forecast.go
+++ b/pools/forecast.go
@@ -208,14 +208,24 @@
 	t.next = f
 }
 
-// round returns the number of turns until the same pool gets its turn again, 0 if no pool had two.
+// round returns the number of turns after which the order of the pools repeats, 0 if it is not known. A pool may have several turns in
+// a round.
 func (t *turns) round() int {
-	for i := len(t.past) - 1; i > 0; i-- {
-		for k := i - 1; k >= 0; k-- {
-			if t.past[k].pool == t.past[i].pool {
-				return t.past[i].turn - t.past[k].turn
+	at := make(map[int]string, len(t.past))
+	for _, b := range t.past {
+		at[b.turn] = b.pool
+	}
+	last := t.past[len(t.past)-1].turn
+	for round := 1; round <= last-t.past[0].turn; round++ {
+		repeats, differs := false, false
+		for turn, pool := range at {
+			if before, ok := at[turn-round]; ok {
+				repeats, differs = repeats || before == pool, differs || before != pool
 			}
 		}
+		if repeats && !differs {
+			return round
+		}
 	}
 	return 0
 }
--- a/pools/forecast_test.go
+++ b/pools/forecast_test.go
@@ -183,6 +183,15 @@
 	assert.Assert(t, !m.holdsIdle(f.began-moveTime-fleetStep) && m.holdsIdle(f.began-moveTime))
 }
 
+// Guards against a round that seems to end with the second turn of a pool that has several in a round.
+func TestRoundsMayHaveSeveralTurnsOfAPool(t *testing.T) {
+	m := newTurns()
+	for turn, want := range []int{0, 0, 2, 0, 4, 4, 4, 4} {
+		m.past = append(m.past, &burst{pool: string("abac"[turn%4]), turn: turn})
+		assert.Equal(t, m.round(), want, "turn %d", turn)
+	}
+}
+
 // Guards against machine-seconds that are spent on forecasts after two wrong ones in a row, also if earlier ones were right, and
 // against a model that never recovers.
 func TestWrongForecastsAreNotUsed(t *testing.T) {
