--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -26,6 +26,9 @@
 	waits         *prometheus.CounterVec
 	machineTime   *prometheus.CounterVec
 	loadedJobs    *prometheus.CounterVec
+	forecasts     *prometheus.CounterVec
+	returns       *prometheus.CounterVec
+	calledAhead   prometheus.Counter
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 }
@@ -81,9 +84,19 @@
 			Name: "tamarack_takeover_jobs_total",
 			Help: "Unfinished jobs that a new owner loaded: inherited ones may have been started by a former owner, unstarted ones cannot.",
 		}, []string{"origin"}),
+		forecasts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_burst_forecasts_total", Help: "Forecasts of the next burst of a pool, by whether they were right. Those replayed after a takeover count.",
+		}, []string{"result"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tamarack_standby_returns_total", Help: "Moves to standby that were planned, and those that were reversed within 5 s.",
+		}, []string{"result"}),
+		calledAhead: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "tamarack_machines_called_ahead_total", Help: "Moves that were planned before the burst they are for began.",
+		}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime, m.loadedJobs)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime,
+		m.loadedJobs, m.forecasts, m.returns, m.calledAhead)
 	return m
 }
 
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -86,6 +86,7 @@
 	submitted := now
 	if origin != originNew {
 		submitted -= max(0, time.Duration(l.opts.WallMS()-job.AcceptedUnixMS)*time.Millisecond)
+		l.machines.turns.addPast(&job, submitted)
 	}
 	if first, ok := l.opts.FirstSubmitted(r.Name); ok {
 		submitted = min(submitted, first)
