--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tamarackworks/tamarackworks/interference"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -14,6 +15,8 @@
 	Retention time.Duration
 	// StopTimeout is the longest time that a task may run after its stop was ordered.
 	StopTimeout time.Duration
+	// IgnoreInterference places long-running tasks without regard to their predicted interference, for comparison.
+	IgnoreInterference bool
 }
 
 // unreconciled is what an unreconciled executor may still run for an earlier owner.
@@ -76,6 +79,7 @@
 
 	// permitsRequested holds the steps with a PermitRequest that has no response yet.
 	permitsRequested map[workload.StepID]bool
+	interference     *interferenceState
 }
 
 // New returns an empty core.
@@ -88,6 +92,7 @@
 		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
 		ordersByUrgency: fitsInTime,
+		interference:    &interferenceState{model: interference.New()},
 	}
 }
 
@@ -375,6 +380,7 @@
 		c.stopStalledTasks(now, e)
 		c.evacuate(now, e)
 	}
+	c.logInterference(now)
 	c.markActiveServicesDirty()
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -299,6 +299,7 @@
 	}
 	var best *executor
 	var bestPenalty float64
+	apart := p.newSeparation(t)
 	for _, e := range p.candidates {
 		if !e.free().Fits(size) || (spec.Label != "" && !e.info.HasLabel(spec.Label)) || (rack != "" && e.info.Rack != rack) {
 			continue
@@ -316,10 +317,12 @@
 			continue
 		}
 		penalty := p.penalty(t, e)
+		penalty += apart.penalty(e, penalty)
 		if best == nil || penalty < bestPenalty {
 			best, bestPenalty = e, penalty
 		}
 	}
+	apart.record(best)
 	if best == nil && unconstrained {
 		p.rejected = append(p.rejected, sh)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -70,6 +70,7 @@
 		c.acksPending = true
 	}
 	c.markReconciled(id)
+	c.observeInterference(now, e, r)
 	c.adjustPace(now, e)
 }
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -73,6 +73,8 @@
 	avoidUntil map[string]time.Duration
 	// pace is the speed of a best-effort task (workload.Step.BestEffortCPU) in percent of its full speed.
 	pace int
+	// cpuAtFullPace is the smoothed CPU usage of a long-running task at full pace, in thousandths of a core; 0 if unknown.
+	cpuAtFullPace float64
 	// requeues counts how often the task became pending again after a start.
 	requeues int
 	// previous is the run before the current one.
@@ -295,6 +297,8 @@
 	paceChangedAt  time.Duration
 	// tailRatio is the largest tail latency of a serving task relative to its objective, by the last report.
 	tailRatio float64
+	// sampledAt is when a report last counted in observeInterference.
+	sampledAt time.Duration
 }
 
 // runs returns the number of tasks on the executor and of runs there that no task needs.
