--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -101,6 +101,8 @@
 	StopTimeout time.Duration
 	// MaxLease is the longest lease that an executor grants.
 	MaxLease time.Duration
+	// IgnoreInterference is passed to the scheduler.
+	IgnoreInterference bool
 }
 
 // Coordinator runs the jobs while Lead runs, and answers queries about them.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -112,8 +112,10 @@
 func newLeadership(ctx context.Context, opts Options, term ownership.Term) *leadership {
 	l := &leadership{
 		opts: opts, term: term, ctx: ctx,
-		log:      opts.Log.WithField("epoch", term.Epoch),
-		core:     scheduler.New(scheduler.Options{Epoch: term.Epoch, Retention: opts.Retention, StopTimeout: opts.StopTimeout}),
+		log: opts.Log.WithField("epoch", term.Epoch),
+		core: scheduler.New(scheduler.Options{
+			Epoch: term.Epoch, Retention: opts.Retention, StopTimeout: opts.StopTimeout, IgnoreInterference: opts.IgnoreInterference,
+		}),
 		events:   make(chan any, eventBuffer),
 		queries:  make(chan func(*scheduler.Core)),
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -27,6 +27,7 @@
 	machineTime   *prometheus.CounterVec
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
+	interference *interferenceMetrics
 }
 
 // NewMetrics returns metrics that are registered with r.
@@ -77,6 +78,7 @@
 			Name: "tamarack_machine_seconds_total", Help: "Time of machines by what they did.",
 		}, []string{"state"}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
+		interference: newInterferenceMetrics(r),
 	}
 	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime)
 	return m
@@ -119,6 +121,7 @@
 	m.unplaced.Set(float64(unplaced))
 	m.backlog.Set(float64(sum) / 1000)
 	m.countWaits(core)
+	m.interference.observe(core.Interference())
 }
 
 // countWaits adds the time that jobs have waited since the last call. The totals of the core restart at 0 with each term.
--- a/node/node.go
+++ b/node/node.go
@@ -127,6 +127,7 @@
 		FirstSubmitted: func(job string) (time.Duration, bool) { return n.frontend.FirstSubmitted(job) },
 		Log:            t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
+		IgnoreInterference: s.IgnoreInterference,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
 		options.Advice = advice
--- a/settings/node.go
+++ b/settings/node.go
@@ -40,6 +40,9 @@
 	// than Grace.
 	LameDuck time.Duration
 
+	// IgnoreInterference places long-running tasks without regard to their predicted interference.
+	IgnoreInterference bool
+
 	Telemetry Telemetry
 }
 
@@ -74,6 +77,8 @@
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
 		Telemetry:      ReadTelemetry(l),
+
+		IgnoreInterference: !l.Bool("placement", "interference", true),
 	}
 	if n.AdviceAddress != "" {
 		n.AdviceAddress = l.Address("platform", "advice", "")
