--- a/operator/cli/cli.go
+++ b/operator/cli/cli.go
@@ -30,15 +30,16 @@
 
 // args are the arguments of the command. Nil subcommands were not given.
 type args struct {
-	Apply   *applyCmd   `arg:"subcommand:apply" help:"submit declarations as one change ticket"`
-	Ticket  *ticketCmd  `arg:"subcommand:ticket" help:"accepted change tickets"`
-	Pool    *poolCmd    `arg:"subcommand:pool" help:"pools with their budgets and load"`
-	Host    *hostCmd    `arg:"subcommand:host" help:"hosts with their assignments"`
-	Wave    *waveCmd    `arg:"subcommand:wave" help:"maintenance waves"`
-	Job     *jobCmd     `arg:"subcommand:job" help:"long jobs"`
-	Drain   *drainCmd   `arg:"subcommand:drain" help:"take a host out of service by a change ticket"`
-	Explain *explainCmd `arg:"subcommand:explain" help:"why a request was rejected, a host gets no work, or a job waits"`
-	Waits   *waitsCmd   `arg:"subcommand:waits" help:"what late and failed jobs waited for and what machines did, from logs"`
+	Apply        *applyCmd        `arg:"subcommand:apply" help:"submit declarations as one change ticket"`
+	Ticket       *ticketCmd       `arg:"subcommand:ticket" help:"accepted change tickets"`
+	Pool         *poolCmd         `arg:"subcommand:pool" help:"pools with their budgets and load"`
+	Host         *hostCmd         `arg:"subcommand:host" help:"hosts with their assignments"`
+	Wave         *waveCmd         `arg:"subcommand:wave" help:"maintenance waves"`
+	Job          *jobCmd          `arg:"subcommand:job" help:"long jobs"`
+	Drain        *drainCmd        `arg:"subcommand:drain" help:"take a host out of service by a change ticket"`
+	Explain      *explainCmd      `arg:"subcommand:explain" help:"why a request was rejected, a host gets no work, or a job waits"`
+	Waits        *waitsCmd        `arg:"subcommand:waits" help:"what late and failed jobs waited for and what machines did, from logs"`
+	Interference *interferenceCmd `arg:"subcommand:interference" help:"which images disturb which serving images, from logs"`
 
 	Server    []string      `arg:"--server,separate,env:TAMARACK_SERVER" placeholder:"URL" help:"operator API of an entry host; repeat it to name several, which are tried in order"`
 	TokenFile string        `arg:"--token-file,env:TAMARACK_TOKEN_FILE" placeholder:"FILE" help:"file with the bearer token"`
@@ -192,6 +193,9 @@
 	if c.args.Waits != nil {
 		return c.waits(c.args.Waits)
 	}
+	if c.args.Interference != nil {
+		return c.interference(c.args.Interference)
+	}
 	if c.client, err = newClient(c.args); err != nil {
 		return inputError{err}
 	}
--- a/operator/cli/waits.go
+++ b/operator/cli/waits.go
@@ -15,18 +15,10 @@
 
 // waits prints the report that package waits makes from logs. It needs no server.
 func (c *command) waits(cmd *waitsCmd) error {
-	var logs []io.Reader
-	for _, name := range cmd.Files {
-		if name == "-" {
-			logs = append(logs, c.Stdin)
-			continue
-		}
-		file, err := os.Open(name)
-		if err != nil {
-			return inputError{err}
-		}
-		defer file.Close()
-		logs = append(logs, file)
+	logs, closeLogs, err := c.openLogs(cmd.Files)
+	defer closeLogs()
+	if err != nil {
+		return inputError{err}
 	}
 	report, err := waits.Read(waits.Options{Window: cmd.Window}, logs...)
 	if err != nil {
@@ -37,3 +29,25 @@
 	}
 	return report.WriteTable(c.Stdout)
 }
+
+// openLogs opens files for reading; the name - is standard input. closeLogs closes those that were opened, also after an error.
+func (c *command) openLogs(names []string) (logs []io.Reader, closeLogs func(), err error) {
+	var files []*os.File
+	closeLogs = func() {
+		for _, file := range files {
+			file.Close()
+		}
+	}
+	for _, name := range names {
+		if name == "-" {
+			logs = append(logs, c.Stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, closeLogs, err
+		}
+		files, logs = append(files, file), append(logs, file)
+	}
+	return logs, closeLogs, nil
+}
--- a/scheduler/interference_test.go
+++ b/scheduler/interference_test.go
@@ -1,12 +1,15 @@
 package scheduler
 
 import (
+	"bytes"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/tamarackworks/tamarackworks/interference"
+	report "github.com/tamarackworks/tamarackworks/operator/interference"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -117,8 +120,8 @@
 	assert.Equal(t, logged, 1)
 }
 
-// Guards against reports that teach the model nothing or something wrong, against totals of the wrong time, and against log
-// lines that come with every tick or, without long-running tasks, at all.
+// Guards against reports that teach the model nothing or something wrong, against totals of the wrong time, against log lines
+// that come with every tick or, without long-running tasks, at all, and against fields that tamarack interference does not find.
 func TestReportsTeachInterference(t *testing.T) {
 	h := newLabelledHarness(t, Options{})
 	h.submit("finite", batchStep(1, 1000))
@@ -133,6 +136,7 @@
 	h.submit("fill", fillingStep("noisy", "x0"))
 	h.reportServing()
 	lines := 0
+	var last Decision
 	for i := range 120 {
 		cpu := float64(i%8) * 400
 		tail := 20 + cpu/20
@@ -147,6 +151,7 @@
 		for _, d := range h.core.Decisions() {
 			if d.Message == "interference" {
 				lines++
+				last = d
 			}
 		}
 	}
@@ -158,6 +163,12 @@
 	assert.Assert(t, totals.AboveObjective > totals.Serving/8 && totals.AboveObjective < totals.Serving/2, "%+v", totals)
 	assert.Assert(t, totals.PacedDown > 0 && totals.PacedDown <= totals.BestEffort, "%+v", totals)
 	assert.Assert(t, lines >= 15 && lines <= 21, "%d", lines)
+	line, err := json.Marshal(map[string]any{"message": last.Message, "fields": last.Inputs})
+	assert.NilError(t, err)
+	read, err := report.Read(bytes.NewReader(line))
+	assert.NilError(t, err)
+	assert.Assert(t, read.ServingMS > 0 && read.AboveObjectiveMS > 0 && read.BestEffortMS > 0 && read.PacedDownMS > 0 && !read.PenaltyOff, "%+v", read)
+	assert.Equal(t, read.Effects[0].Beside, "noisy")
 }
 
 // Guards against observations of jobs without images, which would make pairs of tasks that have nothing in common.
