--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -71,6 +71,8 @@
 	// waitClocks count what the tasks of each service wait for. waited sums the ended waits of all jobs.
 	waitClocks map[string]*waitClock
 	waited     waitTimes
+	// overloads holds the overloads that Closures found lately.
+	overloads map[closureKey]overload
 	// incomingMachines is the number of machines that are being moved to each service.
 	incomingMachines map[string]int
 
@@ -87,7 +89,7 @@
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
 		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
-		ordersByUrgency: fitsInTime,
+		ordersByUrgency: fitsInTime, overloads: make(map[closureKey]overload),
 	}
 }
 
--- a/scheduler/organisations.go
+++ b/scheduler/organisations.go
@@ -21,8 +21,14 @@
 	// tokens is the number of jobs that may arrive now within its share, as of refilledAt.
 	tokens     float64
 	refilledAt time.Duration
+	// beyondShareUntil is until when it counts as beyond its share, after a job that was.
+	beyondShareUntil time.Duration
 }
 
+// beyondShareHold is how long an organisation counts as beyond its share after a job that was. A token may be free for a moment
+// between two jobs.
+const beyondShareHold = time.Second
+
 // organisation returns the state of an organisation, or nil for jobs without one.
 func (c *Core) organisation(name string) *organisation {
 	if name == "" {
@@ -55,6 +61,7 @@
 	o.tokens = min(o.limits.Weight, o.tokens+o.limits.Weight*(now-o.refilledAt).Seconds())
 	o.refilledAt = now
 	if o.tokens < 1 {
+		o.beyondShareUntil = now + beyondShareHold
 		return false
 	}
 	o.tokens--
