--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -91,8 +91,10 @@
 	MayContinue func() bool
 	// FirstSubmitted returns when a job was first submitted, on the clock of Now, if that was before it was accepted and is known.
 	FirstSubmitted func(job string) (time.Duration, bool)
-	Log            log.Interface
-	Metrics        *Metrics
+	// PublishClosures is called several times a second with the queues that are closed, none as a rule. It must not block.
+	PublishClosures func([]scheduler.Closure)
+	Log             log.Interface
+	Metrics         *Metrics
 	// MachineDelay is how long after a predecessor's order for a machine a new owner waits before it orders that machine.
 	MachineDelay time.Duration
 	// Retention is how long finished jobs are kept, in memory and in the store.
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -69,6 +69,7 @@
 	nextPurgeAt time.Duration
 	startedAt   time.Duration
 	machines    machineState
+	closures    closureState
 	// storedRoutes is the version of the last configuration in the row at routeHistoryKey.
 	storedRoutes uint64
 }
@@ -157,6 +158,7 @@
 			l.core.Tick(now, l.opts.WallMS())
 			l.dropGoneExecutors()
 			l.planMachines(now)
+			l.publishClosures(now)
 			l.requestPermits(now)
 			l.purge(now)
 			l.opts.Metrics.observeCore(now, l.core, len(l.events), l.lag.Value())
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -25,6 +25,7 @@
 	lag           prometheus.Gauge
 	waits         *prometheus.CounterVec
 	machineTime   *prometheus.CounterVec
+	closures      prometheus.Gauge
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 }
@@ -76,9 +77,12 @@
 		machineTime: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_machine_seconds_total", Help: "Time of machines by what they did.",
 		}, []string{"state"}),
+		closures: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "tamarack_closures", Help: "Queues, or queues for one organisation, that refuse jobs.",
+		}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 	}
-	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime)
+	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime, m.closures)
 	return m
 }
 
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -105,6 +105,9 @@
 	// that no host rejects the job.
 	StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error
 	StoreCancel(ctx context.Context, id string) error
+	// ConfirmRefusal reports whether a job can be refused: the owner does not know it, and no attempt that the owner heard of may
+	// have stored it.
+	ConfirmRefusal(ctx context.Context, id string) (bool, error)
 	JobStatus(ctx context.Context, id string) (status workload.Status, known bool, err error)
 	QueueLength(ctx context.Context, route string) (int, error)
 }
@@ -153,6 +156,7 @@
 	configReads       singleflight.Group
 	// submitted holds the submissions that this host, or another one that asked it to store them, did not accept.
 	submitted submissions
+	closures  closures
 }
 
 // indexedConfiguration is a configuration with an index of its API keys.
@@ -307,7 +311,8 @@
 	return Result{Outcome: o}
 }
 
-// Submit stores a job. It is idempotent: an id is one job, however often and on whichever hosts it is submitted.
+// Submit stores a job, unless its queue is closed for it. It is idempotent: an id is one job, however often and on whichever hosts
+// it is submitted.
 func (f *Frontend) Submit(ctx context.Context, m *Match, job *workload.Job) Result {
 	start := time.Now()
 	result := f.submit(ctx, m, job)
@@ -317,8 +322,12 @@
 
 func (f *Frontend) submit(ctx context.Context, m *Match, job *workload.Job) Result {
 	start := f.opts.Now()
+	defer f.submitted.begin(job.ID)()
 	job.Route, job.Service, job.Policy, job.ConfigVersion = m.Name, m.Service, m.Policy, m.ConfigVersion
 	job.Organisation = m.Organisation
+	if result, refused := f.refuse(ctx, job, start); refused {
+		return result
+	}
 	job.AcceptedUnixMS = f.opts.WallMS()
 	value, err := json.Marshal(job)
 	if err != nil {
@@ -345,6 +354,7 @@
 		entry.Info("job accepted")
 		return Result{}
 	case Unavailable, Rejected:
+		f.opts.Metrics.countRejection(m.Name, rejectedByStore, retryAfter)
 		entry.Warn("job rejected, it cannot be stored")
 		return Result{outcome, retryAfter}
 	}
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -50,6 +50,13 @@
 	return err
 }
 
+func (o *fakeOwner) ConfirmRefusal(_ context.Context, id string) (bool, error) {
+	if o.unreachable {
+		return false, rowstore.ErrUnavailable
+	}
+	return o.frontend == nil || o.frontend.ConfirmRefusal(id), nil
+}
+
 func (o *fakeOwner) StoreCancel(context.Context, string) error { return rowstore.ErrUnavailable }
 
 // fixture is a frontend with an in-memory store, a fake owner and a configuration of two routes.
--- a/frontend/store.go
+++ b/frontend/store.go
@@ -66,6 +66,7 @@
 // store the job; then, and for a job of which this was said before, the error never matches rowstore.ErrUnavailable.
 func (f *Frontend) StoreJob(ctx context.Context, id string, value []byte, uncertain bool) error {
 	now := f.opts.Now()
+	defer f.submitted.begin(id)()
 	err := f.commitForPeer(ctx, func(partition string) rowstore.Txn { return jobTxn(partition, id, value) }, id)
 	if err == nil || errors.Is(err, rowstore.ErrConflict) {
 		return nil
--- a/frontend/submissions.go
+++ b/frontend/submissions.go
@@ -23,6 +23,33 @@
 type submissions struct {
 	mu   sync.Mutex
 	byID map[string]submission
+	// attempts is the number of attempts of each job that are in progress on this host.
+	attempts map[string]int
+}
+
+// begin counts an attempt to store a job as in progress, until the returned function is called.
+func (s *submissions) begin(id string) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts == nil {
+		s.attempts = make(map[string]int)
+	}
+	s.attempts[id]++
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.attempts[id]--; s.attempts[id] <= 0 {
+			delete(s.attempts, id)
+		}
+	}
+}
+
+// isCertain reports whether no attempt on this host may have stored a job, except the given number that are in progress.
+func (s *submissions) isCertain(id string, now time.Duration, own int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.byID[id]
+	return s.attempts[id] <= own && !(ok && x.uncertain && now-x.firstAt <= submissionTTL)
 }
 
 // record remembers a submission at a time. If there are too many, it forgets those that are too old, or else any.
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/tamarackworks/tamarackworks/ownership"
 	"github.com/tamarackworks/tamarackworks/platform"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/scheduler"
 	"github.com/tamarackworks/tamarackworks/settings"
 	"github.com/tamarackworks/tamarackworks/telemetry"
 )
@@ -67,6 +68,7 @@
 
 	stopping atomic.Bool
 	peers    *peers
+	loads    *queueLoads
 }
 
 // rowStore is the part of the row store that the services of a host use.
@@ -125,7 +127,10 @@
 		OwnsJobsUntil:  func() time.Duration { return n.manager.OwnsJobsUntil() },
 		MayContinue:    func() bool { return n.manager.MayContinue() },
 		FirstSubmitted: func(job string) (time.Duration, bool) { return n.frontend.FirstSubmitted(job) },
-		Log:            t.Log, Metrics: coordinator.NewMetrics(t.Registry),
+		PublishClosures: func(closures []scheduler.Closure) {
+			n.loads.publish(frontend.QueueLoad{Closures: closures, Hosts: len(n.peers.live()) + 1})
+		},
+		Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
 	}
 	if advice := platform.NewAdvice(s.AdviceAddress); advice != nil {
@@ -133,7 +138,8 @@
 	}
 	n.coordinator = coordinator.New(options)
 	n.peers = newPeers(peer{name: s.ID, dataCentre: s.DataCentre, cpuShare: s.CPUShare}, elapsed.Now)
-	owner := newOwnerClient(n.coordinator, func() string { return n.manager.OwnerAddress() }, s.InternalListen, n.peers)
+	n.loads = &queueLoads{now: elapsed.Now, received: func(load frontend.QueueLoad) { n.frontend.UpdateLoad(load) }}
+	owner := newOwnerClient(n.coordinator, func() string { return n.manager.OwnerAddress() }, s.InternalListen, n.peers, n.loads)
 	n.manager = ownership.New(ownership.Options{
 		Store: n.store, Holder: n.holder, Name: s.ID, Address: s.InternalListen, Preference: min(s.CPUShare, 1),
 		Now: elapsed.Now, Log: t.Log, Lead: n.coordinator.Lead, Probe: owner.probe, Successors: n.peers.successors,
@@ -266,7 +272,7 @@
 func (n *Node) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(schedulev1connect.NewScheduleServiceHandler(
-		&scheduleServer{n.coordinator, n.frontend, n.holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor())))
+		&scheduleServer{n.coordinator, n.frontend, n.holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor(), n.loads.interceptor())))
 	return mux
 }
 
--- a/node/owner.go
+++ b/node/owner.go
@@ -36,10 +36,10 @@
 	clients map[string]schedulev1connect.ScheduleServiceClient
 }
 
-func newOwnerClient(localCoordinator *coordinator.Coordinator, ownerAddress func() string, selfAddress string, p *peers) *ownerClient {
+func newOwnerClient(localCoordinator *coordinator.Coordinator, ownerAddress func() string, selfAddress string, p *peers, q *queueLoads) *ownerClient {
 	return &ownerClient{
 		localCoordinator: localCoordinator, ownerAddress: ownerAddress, selfAddress: selfAddress, http: &http.Client{Transport: platform.NewTransport()},
-		options: connect.WithInterceptors(tracingInterceptor(), p.interceptor()),
+		options: connect.WithInterceptors(tracingInterceptor(), p.interceptor(), q.interceptor()),
 		clients: make(map[string]schedulev1connect.ScheduleServiceClient),
 	}
 }
@@ -192,7 +192,11 @@
 	if err != nil {
 		return nil, coordinatorRPCError(err)
 	}
-	return connect.NewResponse(&schedulev1.JobStatusResponse{Known: known, Status: string(status)}), nil
+	resp := connect.NewResponse(&schedulev1.JobStatusResponse{Known: known, Status: string(status)})
+	if !known {
+		s.confirmRefusal(r, resp)
+	}
+	return resp, nil
 }
 
 // QueueLength implements ScheduleService.
--- /dev/null
+++ b/node/queueload_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/frontend"
+	schedulev1 "github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1"
+	"github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1/schedulev1connect"
+	"github.com/tamarackworks/tamarackworks/scheduler"
+)
+
+// loadOf returns a load of n closures of queues whose names end in suffix.
+func loadOf(n int, suffix string) frontend.QueueLoad {
+	load := frontend.QueueLoad{Hosts: 42}
+	for i := range n {
+		load.Closures = append(load.Closures, scheduler.Closure{
+			Queue: fmt.Sprint("r-", i, suffix), Organisation: "a,b;c", Cause: scheduler.ClosedForShare, Work: 1_234_567, Horizon: 4300 * time.Millisecond,
+			Return: 3700 * time.Millisecond, Rate: 349_000, Slope: 0.5, Shift: -0.25,
+		})
+	}
+	return load
+}
+
+// Guards against headers that hosts refuse for their size, names that break the format, and entries that are cut in the middle.
+func TestQueueLoadHeaderIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		closures int
+		suffix   string
+		want     int
+	}{{0, "", 0}, {3, "ü, =;", 3}, {200, "", 18}, {200, strings.Repeat("x", 400), 2}, {1, strings.Repeat("x", 4000), 0}} {
+		header := encodeQueueLoad(loadOf(c.closures, c.suffix))
+		assert.Assert(t, len(header) <= maxQueueLoadBytes)
+		got, err := decodeQueueLoad(header)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got.Closures, loadOf(c.want, c.suffix).Closures)
+	}
+	small := loadOf(100, "")
+	for i := range small.Closures {
+		small.Closures[i] = scheduler.Closure{Queue: "q", Cause: scheduler.ClosedForCap}
+	}
+	got, err := decodeQueueLoad(encodeQueueLoad(small))
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Closures), maxClosures)
+}
+
+// Guards against closures that a damaged header makes up.
+func TestMalformedQueueLoadsAreIgnored(t *testing.T) {
+	valid := encodeQueueLoad(loadOf(1, ""))
+	for _, header := range []string{
+		"0", "x", "-1;", valid + ";", valid[:len(valid)-4] + "NaN", strings.Replace(valid, "share", "other", 1), strings.Replace(valid, "4300", "-1", 1),
+		strings.Replace(valid, "r-0", "%zz", 1), strings.Replace(valid, "0.5", "1e9", 1), strings.Repeat(valid+";", 30) + valid,
+	} {
+		got, err := decodeQueueLoad(header)
+		assert.ErrorIs(t, err, errQueueLoad, "%s", header)
+		assert.Equal(t, len(got.Closures), 0)
+	}
+}
+
+// Guards against a host that repeats its last decision after it stopped leading, and against taking the silence of a host that
+// does not lead for open queues.
+func TestOnlyTheOwnerTellsTheLoad(t *testing.T) {
+	now := time.Second
+	owner := &queueLoads{now: func() time.Duration { return now }, received: func(frontend.QueueLoad) {}}
+	_, handler := schedulev1connect.NewScheduleServiceHandler(&scheduleServer{holder: "h"}, connect.WithInterceptors(owner.interceptor()))
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	var received []int
+	host := &queueLoads{now: owner.now, received: func(load frontend.QueueLoad) { received = append(received, len(load.Closures)) }}
+	c := schedulev1connect.NewScheduleServiceClient(server.Client(), server.URL, connect.WithInterceptors(host.interceptor()))
+	call := func() {
+		_, err := c.Holder(t.Context(), connect.NewRequest(&schedulev1.HolderRequest{}))
+		assert.NilError(t, err)
+	}
+	call()
+	owner.publish(loadOf(2, ""))
+	call()
+	owner.publish(frontend.QueueLoad{})
+	call()
+	now += maxQueueLoadAge + 1
+	call()
+	assert.DeepEqual(t, received, []int{2, 0})
+}
--- a/operator/waits/waits.go
+++ b/operator/waits/waits.go
@@ -164,7 +164,7 @@
 // relevantMessages are the log messages that the report is made of. They are written by other packages and must match theirs.
 var relevantMessages = map[string]bool{
 	"job accepted": true, "job completed": true, "job failed": true, "job cancelled": true, "machine planned": true, "machines of a pool": true,
-	"job rejected, it cannot be stored": true,
+	"job rejected, it cannot be stored": true, "job rejected, its queue is closed": true,
 }
 
 // droppedMessage is the message of the lines that say how many lines a process dropped.
