--- a/frontend/closures.go
+++ b/frontend/closures.go
@@ -79,19 +79,19 @@
 	}
 	for _, x := range c.load.Closures {
 		if x.Queue == job.Route && (x.Organisation == "" || x.Organisation == job.Organisation) && x.Refuses(job) {
-			return x, !c.takeFloor(job, now)
+			return x, !c.takeFloor(job, x.Floor, now)
 		}
 	}
 	return scheduler.Closure{}, false
 }
 
-// takeFloor reports whether a job passes although its queue is closed. All hosts together let one job a second pass for each
-// organisation. The first one is put off by a share of that time, so that not all hosts let one pass at the same time.
-func (c *closures) takeFloor(job *workload.Job, now time.Duration) bool {
-	if job.Organisation == "" {
+// takeFloor reports whether a job passes although its queue is closed. All hosts together let a number of jobs a second pass for each
+// organisation. The first one is put off by a share of the time between two, so that not all hosts let one pass at the same time.
+func (c *closures) takeFloor(job *workload.Job, floor float64, now time.Duration) bool {
+	if job.Organisation == "" || floor <= 0 {
 		return false
 	}
-	turn := time.Duration(max(c.load.Hosts, 1)) * time.Second
+	turn := time.Duration(float64(max(c.load.Hosts, 1)) / floor * float64(time.Second))
 	if c.floorAt == nil {
 		c.floorAt = make(map[string]time.Duration)
 	}
--- a/node/queueload.go
+++ b/node/queueload.go
@@ -99,7 +99,7 @@
 		entry := ";" + strings.Join([]string{
 			url.QueryEscape(x.Queue), url.QueryEscape(x.Organisation), string(x.Cause), strconv.FormatInt(x.Work, 10),
 			strconv.FormatInt(x.Horizon.Milliseconds(), 10), strconv.FormatInt(x.Return.Milliseconds(), 10),
-			strconv.FormatInt(x.Rate, 10), number(x.Slope), number(x.Shift),
+			strconv.FormatInt(x.Rate, 10), number(x.Floor), number(x.Slope), number(x.Shift),
 		}, ",")
 		if i >= maxClosures || len(b)+len(entry) > maxQueueLoadBytes {
 			break
@@ -132,7 +132,7 @@
 }
 
 func decodeClosure(fields []string) (x scheduler.Closure, err error) {
-	if len(fields) != 9 {
+	if len(fields) != 10 {
 		return x, errQueueLoad
 	}
 	integer := func(s string, highest int64) int64 {
@@ -142,9 +142,9 @@
 		}
 		return n
 	}
-	number := func(s string) float64 {
+	number := func(s string, highest float64) float64 {
 		n, parseErr := strconv.ParseFloat(s, 64)
-		if parseErr != nil || math.IsNaN(n) || math.Abs(n) > 100 {
+		if parseErr != nil || math.IsNaN(n) || math.Abs(n) > highest {
 			err = errQueueLoad
 		}
 		return n
@@ -167,7 +167,7 @@
 	x.Horizon = time.Duration(integer(fields[4], longest)) * time.Millisecond
 	x.Return = time.Duration(integer(fields[5], longest)) * time.Millisecond
 	x.Rate = integer(fields[6], math.MaxInt64)
-	x.Slope, x.Shift = number(fields[7]), number(fields[8])
+	x.Floor, x.Slope, x.Shift = number(fields[7], 1e9), number(fields[8], 1), number(fields[9], 100)
 	return x, err
 }
 
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -30,12 +30,14 @@
 	// Work is the most work, in thousandths of a core times milliseconds, of jobs that are not refused. Smaller jobs are placed
 	// first, so they can be on time where larger ones cannot.
 	Work int64
-	// Horizon is how long a job waits at least. Jobs that may wait longer are not refused.
+	// Horizon is how long jobs of the queue may wait as a rule and still have a value. Jobs that may wait longer are not refused.
 	Horizon time.Duration
 	// Return is how long it takes until a job that arrives then can be on time.
 	Return time.Duration
 	// Rate is the rate at which the waiting work is done by then, in thousandths of a core.
 	Rate int64
+	// Floor is the number of jobs a second of each organisation that pass all the same, on all hosts together.
+	Floor float64
 	// Slope and Shift are the model of run times of the queue.
 	Slope, Shift float64
 }
@@ -64,7 +66,8 @@
 
 // organisationLoad is the state of an organisation.
 type organisationLoad struct {
-	cap workload.Resources
+	cap    workload.Resources
+	weight float64
 	// beyondShare is set if a job that arrives now is beyond its share.
 	beyondShare bool
 	// atCap is set if none of its waiting tasks fits under its cap.
@@ -81,6 +84,8 @@
 	demand resourceTime
 	// horizon is how long a job like this one may wait after its submission and still have a value, slack how long to be on time.
 	horizon, slack time.Duration
+	// left is how long this one may still wait.
+	left time.Duration
 }
 
 // resourceTime is CPU in thousandths of a core, memory in MB, and GPUs, each times milliseconds.
@@ -121,6 +126,21 @@
 	in  time.Duration
 }
 
+// arrivalStep is the precision of arrivals: each counts from the step before it.
+const arrivalStep = 100 * time.Millisecond
+
+// expect adds CPU that arrives. CPU that arrives in the same step is one entry, because each job is compared with all entries.
+func (m *machineSupply) expect(cpu int64, in time.Duration) {
+	in = in.Truncate(arrivalStep)
+	for i := range m.arriving {
+		if m.arriving[i].in == in {
+			m.arriving[i].cpu += cpu
+			return
+		}
+	}
+	m.arriving = append(m.arriving, arrivingCPU{cpu, in})
+}
+
 // workIn returns the work that can be done within a time. It takes all machines for empty: a bound that tasks which run now
 // do not reach.
 func (m machineSupply) workIn(d time.Duration) int64 {
@@ -149,8 +169,8 @@
 
 // decideClosures returns the closures that hold for jobs which arrive now. The load that it handles is a burst of more work than
 // the machines of a service can do, and organisations that send more than their weight or than fits under their cap. It refuses
-// a job only if the smaller jobs ahead of it, whose results still have a value, take all machines, those in transit and those
-// that could be called included, for longer than the job may wait: of these jobs and the new one, one ends too late in any case.
+// a job only if the smaller jobs ahead of it take all machines, those in transit and those that could be called included, for
+// nearly as long as the job may wait. Jobs that become too late before their turn are not ahead of it.
 //
 // The order is that in which closures are given up if there are too many: caps first, which concern one organisation, then
 // organisations beyond their share, then whole queues.
@@ -159,8 +179,8 @@
 	var queues []Closure
 	for i := range in.services {
 		s := &in.services[i]
-		if s.machines.now <= 0 {
-			// Nothing is known of how fast work will be done.
+		if s.machines.now <= 0 || s.fits() {
+			// Without machines, nothing is known of how fast work will be done.
 			continue
 		}
 		slices.SortStableFunc(s.jobs, func(a, b jobLoad) int { return cmp.Compare(a.work, b.work) })
@@ -170,22 +190,25 @@
 				continue
 			}
 			ahead := newBacklog(in.organisations, horizon)
-			room := s.machines.workIn(horizon)
-			if work, found := ahead.addUntil(s.jobs, room, func(j jobLoad) bool { return !j.beyondShare && j.priority <= q.priority }); found {
+			room := s.machines.workIn(time.Duration(closeAt * float64(horizon)))
+			if work, found := ahead.addUntil(s.machines, s.jobs, room, func(j jobLoad) bool { return !j.beyondShare && j.priority <= q.priority }); found {
 				queues = append(queues, s.closure(q, "", ClosedForBacklog, work, ahead.work, horizon, slack))
 			}
 			// Jobs beyond the share of their organisation come after all jobs within, of any size.
 			all := newBacklog(in.organisations, horizon)
 			work := int64(0)
-			if _, found := all.addUntil(s.jobs, room, func(j jobLoad) bool { return !j.beyondShare }); !found {
-				work, found = all.addUntil(s.jobs, room, func(j jobLoad) bool { return j.beyondShare && j.priority <= q.priority })
+			if _, found := all.addUntil(s.machines, s.jobs, room, func(j jobLoad) bool { return !j.beyondShare }); !found {
+				work, found = all.addUntil(s.machines, s.jobs, room, func(j jobLoad) bool { return j.beyondShare && j.priority <= q.priority })
 				if !found {
 					continue
 				}
 			}
 			for _, name := range in.sortedOrganisations() {
 				if in.organisations[name].beyondShare {
-					closures = append(closures, s.closure(q, name, ClosedForShare, work, all.work, horizon, slack))
+					x := s.closure(q, name, ClosedForShare, work, all.work, horizon, slack)
+					// Jobs within the share pass; which ones are beyond it is not known before they arrive.
+					x.Floor = max(in.organisations[name].weight, x.Floor)
+					closures = append(closures, x)
 				}
 			}
 		}
@@ -193,12 +216,23 @@
 	return append(closures, queues...)
 }
 
+// fits reports whether all jobs of the service can be done within the time that any of them may wait. It is the usual case, in which
+// the jobs need not be sorted.
+func (s *serviceLoad) fits() bool {
+	work, shortest := int64(0), time.Duration(1<<63-1)
+	for i := range s.jobs {
+		work += s.jobs[i].demand.cpu
+		shortest = min(shortest, s.jobs[i].horizon)
+	}
+	return len(s.jobs) == 0 || work <= s.machines.workIn(time.Duration(closeAt*float64(shortest)))
+}
+
 // closure returns the closure of a queue for jobs of more than work that find the work ahead.
 func (s *serviceLoad) closure(q queueState, organisation string, cause ClosureCause, work, ahead int64, horizon, slack time.Duration) Closure {
 	done := max(s.machines.timeFor(ahead), time.Millisecond)
 	return Closure{
 		Queue: q.name, Organisation: organisation, Cause: cause, Work: work, Horizon: horizon, Return: max(done-slack, 0),
-		Rate: max(ahead/done.Milliseconds(), 1), Slope: q.slope, Shift: q.shift,
+		Rate: max(ahead/done.Milliseconds(), 1), Floor: organisationFloor, Slope: q.slope, Shift: q.shift,
 	}
 }
 
@@ -227,14 +261,14 @@
 				}
 				var ahead resourceTime
 				for _, j := range own {
-					if j.priority > q.priority {
+					if j.priority > q.priority || ahead.timeUnder(o.cap) > j.left {
 						continue
 					}
 					ahead.sum(j.demand)
-					if wait := ahead.timeUnder(o.cap); wait > horizon {
+					if wait := ahead.timeUnder(o.cap); wait > time.Duration(closeAt*float64(horizon)) {
 						closures = append(closures, Closure{
 							Queue: q.name, Organisation: name, Cause: ClosedForCap, Work: j.work, Horizon: horizon,
-							Return: max(wait-slack, 0), Rate: max(ahead.cpu/wait.Milliseconds(), 1), Slope: q.slope, Shift: q.shift,
+							Return: max(wait-slack, 0), Rate: max(ahead.cpu/wait.Milliseconds(), 1), Floor: organisationFloor, Slope: q.slope, Shift: q.shift,
 						})
 						break
 					}
@@ -254,6 +288,14 @@
 	return names
 }
 
+// closeAt is the share of the horizon for which a job must wait at least to be refused. Smaller jobs that arrive later overtake it, so
+// that it ends too late with less than the whole horizon ahead of it. In a replay of five times the capacity for 5 s, 2 % of the jobs
+// refused at 0.9 would have ended in time, and 10 % at 0.8.
+const closeAt = 0.9
+
+// organisationFloor is the number of jobs a second that each organisation may always submit.
+const organisationFloor = 1
+
 // horizonQuantile leaves out the few jobs of a queue that may wait much longer than the others, because those that wait as long
 // are not refused anyway.
 const horizonQuantile = 0.9
@@ -296,10 +338,11 @@
 	b.work += work
 }
 
-// addUntil adds the jobs that counts selects, in order, until their sum exceeds room. It then returns the work of the last one.
-func (b *backlog) addUntil(jobs []jobLoad, room int64, counts func(jobLoad) bool) (work int64, found bool) {
+// addUntil adds the jobs that counts selects, in order, until their sum exceeds room. It then returns the work of the last one. Jobs
+// whose time has run out when the machines have done the work before them are left out.
+func (b *backlog) addUntil(m machineSupply, jobs []jobLoad, room int64, counts func(jobLoad) bool) (work int64, found bool) {
 	for i := range jobs {
-		if !counts(jobs[i]) {
+		if !counts(jobs[i]) || b.work > m.workIn(jobs[i].left) {
 			continue
 		}
 		if b.add(jobs[i]); b.work > room {
--- a/scheduler/overload_input.go
+++ b/scheduler/overload_input.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		in.organisations[name] = organisationLoad{
-			cap: o.limits.Cap, beyondShare: now < o.beyondShareUntil,
+			cap: o.limits.Cap, weight: o.limits.Weight, beyondShare: now < o.beyondShareUntil,
 			atCap: len(c.unreconciled) == 0 && !o.fitsCap(size, workload.Resources{}),
 		}
 	}
@@ -120,6 +120,7 @@
 			}
 			_, longest := o.criticalPaths()
 			l.horizon, l.slack = waitLimit(j.policy, longest), objective(j.policy, longest)-longest
+			l.left = j.submitted + tooLateFactor*x.objective - now - x.longest
 		}
 		if size, ok := smallest[l.organisation]; !ok {
 			smallest[l.organisation] = x.minSize
@@ -151,7 +152,7 @@
 			case e.info.Service == service:
 				s.now += max(cpu, 0)
 			case e.runs() == 0:
-				s.arriving = append(s.arriving, arrivingCPU{cpu, lendTime})
+				s.expect(cpu, lendTime)
 			}
 			supplies[service] = s
 		}
@@ -163,7 +164,7 @@
 		for service := range loads {
 			if m.Service == service || m.Service == "" {
 				s := supplies[service]
-				s.arriving = append(s.arriving, arrivingCPU{int64(m.CPUMilli), m.In})
+				s.expect(int64(m.CPUMilli), m.In)
 				supplies[service] = s
 			}
 		}
