--- a/frontend/closures.go
+++ b/frontend/closures.go
@@ -175,6 +175,33 @@
 	return err == nil && absent
 }
 
+// reportDelay is how long a response is held back until the owner has heard that its job may be stored. Callers repeat the job once
+// they have the response.
+const reportDelay = 50 * time.Millisecond
+
+// reportUncertain tells the owner that an attempt may have stored a job, so that no host refuses the job. The deadline of the request
+// has mostly passed, so it takes a time of its own.
+func (f *Frontend) reportUncertain(id string) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+		defer cancel()
+		if err := f.opts.Owner.ReportUncertain(ctx, id); err != nil {
+			f.opts.Log.WithError(err).WithField("job", id).Warn("owner does not know that a job may be stored")
+		}
+	}()
+	wait := time.NewTimer(reportDelay)
+	defer wait.Stop()
+	select {
+	case <-done:
+	case <-wait.C:
+	}
+}
+
+// RecordUncertain records that an attempt of another host may have stored a job.
+func (f *Frontend) RecordUncertain(id string) { f.submitted.record(id, f.opts.Now(), true) }
+
 // ConfirmRefusal reports whether another host may refuse a job, as far as this host knows, and then remembers when the job was
 // first submitted.
 func (f *Frontend) ConfirmRefusal(id string) bool {
--- a/frontend/closures_test.go
+++ b/frontend/closures_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -72,6 +73,23 @@
 	}
 }
 
+// Replays an attempt whose connection breaks while its write is on its way to the store. Guards against another host that refuses the
+// job a moment before it is stored.
+func TestJobsThatMayBeStoredLateAreNotRefusedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, owner := newFixture(t), newFixture(t), newFixture(t)
+		first.owner.frontend, second.owner.frontend = owner.frontend, owner.frontend
+		first.handle.SetFault(func(bool) rows.Fault { return rows.Late })
+		ctx, disconnect := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer disconnect()
+		assert.Equal(t, first.frontend.Submit(ctx, first.match, &workload.Job{ID: "j"}).Outcome, Unknown)
+		closeQueue(second)
+		result, _ := second.submit(t, "j")
+		assert.Equal(t, result.Outcome, OK)
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against refused callers that return together, and against delays beyond the work that they return with.
 func TestRefusedJobsReturnSpreadOverTheirWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -108,6 +108,8 @@
 	// ConfirmRefusal reports whether a job can be refused: the owner does not know it, and no attempt that the owner heard of may
 	// have stored it.
 	ConfirmRefusal(ctx context.Context, id string) (bool, error)
+	// ReportUncertain tells the owner that an attempt of this host may have stored a job.
+	ReportUncertain(ctx context.Context, id string) error
 	JobStatus(ctx context.Context, id string) (status workload.Status, known bool, err error)
 	QueueLength(ctx context.Context, route string) (int, error)
 }
@@ -345,6 +347,9 @@
 	if outcome != OK {
 		f.submitted.record(job.ID, start, outcome == Unknown)
 	}
+	if outcome == Unknown {
+		f.reportUncertain(job.ID)
+	}
 	entry := f.opts.Log.WithFields(log.Fields{"job": job.ID, "queue": m.Name, "config": m.ConfigVersion, "tries": tries})
 	if err != nil {
 		entry = entry.WithError(err)
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -57,6 +57,16 @@
 	return o.frontend == nil || o.frontend.ConfirmRefusal(id), nil
 }
 
+func (o *fakeOwner) ReportUncertain(_ context.Context, id string) error {
+	if o.unreachable {
+		return rowstore.ErrUnavailable
+	}
+	if o.frontend != nil {
+		o.frontend.RecordUncertain(id)
+	}
+	return nil
+}
+
 func (o *fakeOwner) StoreCancel(context.Context, string) error { return rowstore.ErrUnavailable }
 
 // fixture is a frontend with an in-memory store, a fake owner and a configuration of two routes.
--- a/node/owner.go
+++ b/node/owner.go
@@ -194,7 +194,7 @@
 	}
 	resp := connect.NewResponse(&schedulev1.JobStatusResponse{Known: known, Status: string(status)})
 	if !known {
-		s.confirmRefusal(r, resp)
+		s.answerRefusal(r, resp)
 	}
 	return resp, nil
 }
--- a/node/queueload.go
+++ b/node/queueload.go
@@ -23,8 +23,11 @@
 	// absent on hosts that do not own the jobs.
 	queueLoadHeader = "Tamarack-Queue-Load"
 	// refusalHeader asks the owner, in a query for the status of a job, whether the job can be refused, and confirms it in the
-	// response.
-	refusalHeader = "Tamarack-Refusal"
+	// response. It also tells the owner of a job that cannot, because an attempt may have stored it.
+	refusalHeader    = "Tamarack-Refusal"
+	refusalAsked     = "asked"
+	refusalConfirmed = "confirmed"
+	refusalForbidden = "forbidden"
 	// maxQueueLoadBytes and maxClosures bound the header. Closures beyond them are left out; their jobs are accepted.
 	maxQueueLoadBytes = 1000
 	maxClosures       = 20
@@ -177,22 +180,41 @@
 	if !errors.Is(err, coordinator.ErrNotOwner) {
 		return err == nil && !known, err
 	}
-	c, err := o.remoteOwner()
+	resp, err := o.queryRefusal(ctx, id, refusalAsked)
 	if err != nil {
 		return false, err
 	}
-	r := connect.NewRequest(&schedulev1.JobStatusRequest{Job: id})
-	r.Header().Set(refusalHeader, "asked")
-	resp, err := c.JobStatus(ctx, r)
+	return !resp.Msg.Known && resp.Header().Get(refusalHeader) == refusalConfirmed, nil
+}
+
+// ReportUncertain implements frontend.Owner. If this host is the owner, its frontend knows already.
+func (o *ownerClient) ReportUncertain(ctx context.Context, id string) error {
+	if _, _, err := o.localCoordinator.JobStatus(ctx, id); !errors.Is(err, coordinator.ErrNotOwner) {
+		return err
+	}
+	_, err := o.queryRefusal(ctx, id, refusalForbidden)
+	return err
+}
+
+// queryRefusal queries the status of a job from the owner on another host, with a value of refusalHeader.
+func (o *ownerClient) queryRefusal(ctx context.Context, id, value string) (*connect.Response[schedulev1.JobStatusResponse], error) {
+	c, err := o.remoteOwner()
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	return !resp.Msg.Known && resp.Header().Get(refusalHeader) == "confirmed", nil
+	r := connect.NewRequest(&schedulev1.JobStatusRequest{Job: id})
+	r.Header().Set(refusalHeader, value)
+	return c.JobStatus(ctx, r)
 }
 
-// confirmRefusal answers the question of another host whether it can refuse a job that the owner does not know.
-func (s *scheduleServer) confirmRefusal(r *connect.Request[schedulev1.JobStatusRequest], resp *connect.Response[schedulev1.JobStatusResponse]) {
-	if r.Header().Get(refusalHeader) != "" && s.frontend.ConfirmRefusal(r.Msg.Job) {
-		resp.Header().Set(refusalHeader, "confirmed")
+// answerRefusal handles the refusalHeader in a query for the status of a job that the owner does not know.
+func (s *scheduleServer) answerRefusal(r *connect.Request[schedulev1.JobStatusRequest], resp *connect.Response[schedulev1.JobStatusResponse]) {
+	switch r.Header().Get(refusalHeader) {
+	case refusalAsked:
+		if s.frontend.ConfirmRefusal(r.Msg.Job) {
+			resp.Header().Set(refusalHeader, refusalConfirmed)
+		}
+	case refusalForbidden:
+		s.frontend.RecordUncertain(r.Msg.Job)
 	}
 }
--- a/node/queueload_test.go
+++ b/node/queueload_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/coordinator"
 	"github.com/tamarackworks/tamarackworks/frontend"
 	schedulev1 "github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1"
 	"github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1/schedulev1connect"
@@ -87,3 +89,34 @@
 	call()
 	assert.DeepEqual(t, received, []int{2, 0})
 }
+
+// unknowingOwner is an owner that knows no job and answers for its frontend.
+type unknowingOwner struct{ scheduleServer }
+
+func (s *unknowingOwner) JobStatus(_ context.Context, r *connect.Request[schedulev1.JobStatusRequest]) (*connect.Response[schedulev1.JobStatusResponse], error) {
+	resp := connect.NewResponse(&schedulev1.JobStatusResponse{})
+	s.answerRefusal(r, resp)
+	return resp, nil
+}
+
+// Guards against a refusal that the owner has not confirmed: it heard that the job may be stored, or there is none.
+func TestOwnerConfirmsRefusals(t *testing.T) {
+	service := frontend.New(frontend.Options{Now: func() time.Duration { return time.Second }})
+	_, handler := schedulev1connect.NewScheduleServiceHandler(&unknowingOwner{scheduleServer{frontend: service}})
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	p := newPeers(peer{}, func() time.Duration { return 0 })
+	c := newOwnerClient(coordinator.New(coordinator.Options{}), func() string { return address }, "self", p, &queueLoads{now: p.now})
+	confirmed := func(id string) bool {
+		ok, err := c.ConfirmRefusal(t.Context(), id)
+		return ok && err == nil
+	}
+	assert.Assert(t, confirmed("j"))
+	assert.NilError(t, c.ReportUncertain(t.Context(), "k"))
+	assert.Assert(t, !confirmed("k") && confirmed("j"))
+	_, known := service.FirstSubmitted("j")
+	assert.Assert(t, known)
+	address = ""
+	assert.Assert(t, !confirmed("j"))
+}
