--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -172,8 +172,8 @@
 // a job only if the smaller jobs ahead of it take all machines, those in transit and those that could be called included, for
 // nearly as long as the job may wait. Jobs that become too late before their turn are not ahead of it.
 //
-// The order is that in which closures are given up if there are too many: caps first, which concern one organisation, then
-// organisations beyond their share, then whole queues.
+// Of too many closures the last ones are dropped: whole queues before organisations beyond their share, these before organisations at
+// their caps.
 func decideClosures(in overloadInput) []Closure {
 	closures := capClosures(in)
 	var queues []Closure
