--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -29,6 +29,7 @@
 	forecasts     *prometheus.CounterVec
 	returns       *prometheus.CounterVec
 	calledAhead   prometheus.Counter
+	closures      prometheus.Gauge
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 	interference *interferenceMetrics
@@ -94,11 +95,14 @@
 		calledAhead: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "tamarack_machines_called_ahead_total", Help: "Moves that were planned before the burst they are for began.",
 		}),
+		closures: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "tamarack_closures", Help: "Queues, or queues for one organisation, that refuse jobs.",
+		}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 		interference: newInterferenceMetrics(r),
 	}
 	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime,
-		m.loadedJobs, m.forecasts, m.returns, m.calledAhead)
+		m.loadedJobs, m.forecasts, m.returns, m.calledAhead, m.closures)
 	return m
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -74,6 +74,8 @@
 	// waitClocks count what the tasks of each service wait for. waited sums the ended waits of all jobs.
 	waitClocks map[string]*waitClock
 	waited     waitTimes
+	// overloads holds the overloads that Closures found lately.
+	overloads map[closureKey]overload
 	// incomingMachines is the number of machines that are being moved to each service.
 	incomingMachines map[string]int
 
@@ -95,7 +97,7 @@
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
 		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
-		ordersByUrgency: fitsInTime, racks: make(map[string]*rackHealth),
+		ordersByUrgency: fitsInTime, overloads: make(map[closureKey]overload), racks: make(map[string]*rackHealth),
 		interference: &interferenceState{model: interference.New()},
 	}
 }
