--- a/node/peers.go
+++ b/node/peers.go
@@ -121,13 +121,18 @@
 	return hosts
 }
 
-// rankSuccessors returns the names of up to ownership.MaxSuccessors hosts, best first. It spreads them over data centres, so
+// rankSuccessors returns the names of up to ownership.MaxSuccessors hosts, best first. Hosts that another one would outrank come
+// last: they would hand over again, and are short of processor time until then. Within that it spreads the hosts over data centres, so
 // that they do not fail together: hosts outside the owner's data centre come first, and each data centre appears once before
-// any appears twice. Within that, a higher CPU share comes first.
+// any appears twice. Then a higher CPU share comes first.
 func rankSuccessors(hosts []peer, ownDataCentre string) []string {
 	slices.SortFunc(hosts, func(a, b peer) int {
 		return cmp.Or(-cmp.Compare(a.cpuShare, b.cpuShare), cmp.Compare(a.name, b.name))
 	})
+	largestShare := 0.0
+	for _, host := range hosts {
+		largestShare = max(largestShare, host.cpuShare)
+	}
 	perDataCentre := make(map[string]int)
 	ranks := make([]int, len(hosts))
 	order := make([]int, len(hosts))
@@ -136,6 +141,9 @@
 		if host.dataCentre == ownDataCentre {
 			ranks[i] += ownership.MaxSuccessors
 		}
+		if largestShare >= outrankFactor*host.cpuShare {
+			ranks[i] += 2 * len(hosts)
+		}
 		perDataCentre[host.dataCentre]++
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(ranks[a], ranks[b]) })
