--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -149,6 +149,13 @@
 
 // observe records the rows of a successful read that covers all changes up to sent.
 func (m *Manager) observe(sent time.Duration, rows []rowstore.Row) {
+	var logs []func()
+	// The log is written without the lock: a process that stalls while it writes must not hold up the checks of the ownership.
+	defer func() {
+		for _, write := range logs {
+			write()
+		}
+	}()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opts.Now()
@@ -164,33 +171,35 @@
 	for _, r := range rows {
 		switch r.Key {
 		case LeaseKey:
-			m.recordLease(r, now)
+			logs = append(logs, m.recordLease(r, now)...)
 		case FenceKey:
 			m.fenceVersion = max(m.fenceVersion, r.Version)
 		}
 	}
 }
 
-// recordLease records a newer lease row; the caller holds the lock.
-func (m *Manager) recordLease(r rowstore.Row, now time.Duration) {
+// recordLease records a newer lease row, and returns what to log without the lock, which the caller holds.
+func (m *Manager) recordLease(r rowstore.Row, now time.Duration) (logs []func()) {
 	if r.Version <= m.leaseVersion {
-		return
+		return nil
 	}
 	var l Lease
 	if err := json.Unmarshal(r.Value, &l); err != nil {
-		m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
+		logs = append(logs, func() {
+			m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
+		})
 		l = Lease{Released: true, Epoch: m.lease.Epoch}
 	}
 	if l.Epoch != m.lease.Epoch || l.Released != m.lease.Released {
-		m.opts.Log.WithFields(log.Fields{
-			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
-		}).Info("owner changed")
+		fields := log.Fields{"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version}
+		logs = append(logs, func() { m.opts.Log.WithFields(fields).Info("owner changed") })
 	}
 	if l.Epoch != m.lease.Epoch || m.leaseVersion == 0 || l.Holder == "" {
 		m.epochSeenAt = now
 	}
 	m.lease, m.leaseVersion, m.changedAt, m.renewalSeenAt = l, r.Version, now, now
 	m.inGrace, m.silentProbes = false, 0
+	return logs
 }
 
 // probe asks the owner's address whether the owner's process still runs, if the lease was not renewed in time. A refused
@@ -237,17 +246,24 @@
 // off: the lease expires silentMargin after its end, and a grace after a gap between reads is over. The owner's last renewal is no
 // longer valid then, as the gap was longer than that.
 func (m *Manager) recordSilentProbe(probed Lease) {
+	if m.countSilentProbe(probed) {
+		m.opts.Log.WithFields(log.Fields{"owner": probed.Holder, "epoch": probed.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
+	}
+}
+
+// countSilentProbe does what recordSilentProbe says and reports whether it has ended a grace.
+func (m *Manager) countSilentProbe(probed Lease) (graceEnded bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
-		return
+		return false
 	}
 	if m.silentProbes++; m.silentProbes < maxSilentProbes || !m.inGrace {
-		return
+		return false
 	}
 	m.inGrace = false
 	m.changedAt = min(m.changedAt, m.opts.Now()-m.lease.validFor()-takeoverMargin)
-	m.opts.Log.WithFields(log.Fields{"owner": m.lease.Holder, "epoch": m.lease.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
+	return true
 }
 
 // recordProbeAnswer is called when the owner answers a probe. In a grace it has the whole of it to renew its lease.
