--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,17 +19,21 @@
 )
 
 const (
-	// maxJobRecordsPerCommit and maxOwnerRowsPerCommit keep a transaction below 100 entries: each row takes two, an expected
-	// version and a write.
-	maxJobRecordsPerCommit = 28
-	maxOwnerRowsPerCommit  = 20
+	// maxRowsPerCommit keeps a transaction below 100 entries: each row takes two, an expected version and a write, and the fence takes
+	// one. minOwnerRowsPerCommit of them are for other rows than job records if there are as many.
+	maxRowsPerCommit      = 48
+	minOwnerRowsPerCommit = 20
 	// commitInterval is the pause between two commits, so that one transaction covers the ends of several tasks.
 	commitInterval = 15 * time.Millisecond
 	// commitTimeout bounds one attempt. A slow store takes 0.7 s, including the wait for earlier transactions on the same
 	// partition of the table.
 	commitTimeout = 2 * time.Second
-	// commitHedgeDelay is how long to wait for a response before the transaction is sent again, because the response may be lost.
-	commitHedgeDelay = 450 * time.Millisecond
+	// minCommitHedge is how long to wait at least for a response before the transaction is sent again, because the response may be
+	// lost, and maxCommitHedge how long at most. Between them it is commitHedgeFactor times the last commit: at a slow store a
+	// transaction that is sent again too soon only delays the next one, as a partition applies one after the other.
+	minCommitHedge    = 450 * time.Millisecond
+	maxCommitHedge    = time.Second
+	commitHedgeFactor = 1.5
 	// maxCommitAttempts bounds the attempts in flight at the same time.
 	maxCommitAttempts = 4
 	// commitRetryDelay is the pause after all attempts have failed; it keeps retries below the rate limits of the store.
@@ -52,28 +59,44 @@
 
 func (o *ownerRows) remove(key rowstore.Key) { o.dirty[key] = nil }
 
-// addTo moves up to maxOwnerRowsPerCommit dirty rows into a transaction.
-func (o *ownerRows) addTo(txn *rowstore.Txn) {
-	n := 0
-	for key, value := range o.dirty {
-		if n++; n > maxOwnerRowsPerCommit {
+// addTo moves up to limit dirty rows into a transaction, those that work waits for first.
+func (o *ownerRows) addTo(txn *rowstore.Txn, limit int) {
+	keys := slices.SortedFunc(maps.Keys(o.dirty), func(a, b rowstore.Key) int {
+		return cmp.Or(cmp.Compare(o.rank(a), o.rank(b)), cmp.Compare(a.Name, b.Name))
+	})
+	for _, key := range keys {
+		value, version := o.dirty[key], o.versions[key]
+		if value == nil && version == 0 {
+			// The row was never stored.
+			delete(o.dirty, key)
+			continue
+		}
+		if limit--; limit < 0 {
 			return
 		}
 		delete(o.dirty, key)
-		version := o.versions[key]
-		switch {
-		case value != nil:
+		if value != nil {
 			txn.Put = append(txn.Put, rowstore.Row{Key: key, Value: value})
-		case version != 0:
+		} else {
 			txn.Delete = append(txn.Delete, key)
-		default:
-			// The row was never stored.
-			continue
 		}
 		txn.Expect = append(txn.Expect, rowstore.Expect{Key: key, Version: version})
 	}
 }
 
+// rank returns the rank of a dirty row; the lowest is stored first. It answers a burst beside a slow store, when a hundred machines move
+// and a few transactions a second are applied: machines wait for the row of orders, tasks for the records of new executors, and
+// nothing for the removal of a record.
+func (o *ownerRows) rank(key rowstore.Key) int {
+	switch {
+	case key.Table != executorRecordTable:
+		return 0
+	case o.dirty[key] != nil:
+		return 1
+	}
+	return 2
+}
+
 // commitDone is the event that a commit has succeeded or failed.
 type commitDone struct {
 	commit   *scheduler.Commit
@@ -89,7 +112,7 @@
 	if l.committing || now < l.nextCommitAt {
 		return
 	}
-	commit := l.core.TakeCommit(maxJobRecordsPerCommit)
+	commit := l.core.TakeCommit(maxRowsPerCommit - min(len(l.rows.dirty), minOwnerRowsPerCommit))
 	if commit == nil {
 		if len(l.rows.dirty) == 0 {
 			return
@@ -108,9 +131,10 @@
 		return
 	}
 	l.committing = true
+	hedge := l.commitHedge
 	go func() {
 		began := l.opts.Now()
-		version, err := l.commit(txn)
+		version, err := l.commit(txn, hedge)
 		l.emit(commitDone{commit, txn, version, l.opts.Now() - began, err})
 	}()
 }
@@ -128,19 +152,20 @@
 		txn.Expect = append(txn.Expect, rowstore.Expect{Key: key, Version: w.Version})
 		txn.Put = append(txn.Put, rowstore.Row{Key: key, Value: value})
 	}
-	l.rows.addTo(&txn)
+	l.rows.addTo(&txn, maxRowsPerCommit-len(commit.Writes))
 	return txn, nil
 }
 
-// commit retries a transaction until its outcome is certain, and returns its version.
-func (l *leadership) commit(txn rowstore.Txn) (uint64, error) {
+// commit retries a transaction until its outcome is certain, and returns its version. hedge is the time without a response after which it is
+// sent again.
+func (l *leadership) commit(txn rowstore.Txn, hedge time.Duration) (uint64, error) {
 	attempt := func(ctx context.Context) (uint64, error) {
 		ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		return l.opts.Store.Commit(ctx, txn)
 	}
 	for {
-		r, err := rowstore.Race(l.ctx, rowstore.RaceOptions{HedgeDelay: commitHedgeDelay}, rowstore.Repeat(maxCommitAttempts, attempt))
+		r, err := rowstore.Race(l.ctx, rowstore.RaceOptions{HedgeDelay: hedge}, rowstore.Repeat(maxCommitAttempts, attempt))
 		l.opts.Metrics.countRetries(r.Tries)
 		var conflict *rowstore.ConflictError
 		switch {
@@ -193,11 +218,17 @@
 	return "all rows are at the expected versions"
 }
 
+// commitHedge returns the hedge of the commit that follows one that took a time.
+func commitHedge(took time.Duration) time.Duration {
+	return min(max(time.Duration(commitHedgeFactor*float64(took)), minCommitHedge), maxCommitHedge)
+}
+
 // handleCommitDone passes a durable commit to the core, opens the sessions and sends the machine orders that waited for it, and
 // acknowledges task ends. The error of a failed commit ends the term.
 func (l *leadership) handleCommitDone(e commitDone) error {
 	l.committing = false
 	l.nextCommitAt = l.opts.Now() + commitInterval
+	l.commitHedge = commitHedge(e.duration)
 	if e.err != nil {
 		return e.err
 	}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -64,8 +64,8 @@
 	// nextPassAt is when the next scheduling pass may start; passTimer wakes the control goroutine for it.
 	nextPassAt time.Duration
 	passTimer  *time.Timer
-	// nextCommitAt is when the next commit may start; see commitInterval.
-	nextCommitAt time.Duration
+	// nextCommitAt is when the next commit may start; see commitInterval. commitHedge is its hedge.
+	nextCommitAt, commitHedge time.Duration
 	// purging is set while rows of finished jobs are being deleted; nextPurgeAt is when the next deletion may start.
 	purging     bool
 	nextPurgeAt time.Duration
@@ -125,7 +125,7 @@
 		lag:       elapsed.NewLag(ctx),
 		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
 		jobRecords: make(map[string]storedJobRecord), loadedJobs: make(map[jobOrigin]int), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
-		startedAt: opts.Now(),
+		startedAt: opts.Now(), commitHedge: minCommitHedge,
 	}
 	l.machines = newMachineState(l.startedAt + firstOrderDelay)
 	return l
--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -40,7 +40,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l := newTestLeadership(ctx, func() time.Duration { return time.Second })
 		cancel()
-		_, err := l.commit(rowstore.Txn{})
+		_, err := l.commit(rowstore.Txn{}, minCommitHedge)
 		assert.ErrorIs(t, err, context.Canceled)
 	}
 }
