--- a/daemon/http.go
+++ b/daemon/http.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 	"github.com/tamarackworks/tamarackworks/kernel"
 )
 
@@ -24,6 +25,9 @@
 	// WrapListener, if set, wraps the listener, for example to limit or meter connections. TLS runs on top of it.
 	WrapListener func(net.Listener) net.Listener
 
+	// Limiter, if set, bounds the connections and the bodies of requests.
+	Limiter *ingresslimit.Limiter
+
 	// MaxHeaderBytes and ReadTimeout have the meaning and defaults of the fields of http.Server.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout defaults to 5 s.
@@ -57,8 +61,12 @@
 
 // Start binds the address and serves in the background. A port of 0 selects a free one; see Address. The error matches
 // ErrListen.
-func (s *HTTPServer) Start(context.Context) error {
-	l, err := net.Listen("tcp", s.opts.Address)
+func (s *HTTPServer) Start(ctx context.Context) error {
+	var config net.ListenConfig
+	if s.opts.Limiter != nil {
+		config = s.opts.Limiter.ListenConfig()
+	}
+	l, err := config.Listen(ctx, "tcp", s.opts.Address)
 	if err != nil {
 		return errors.Wrap(ErrListen, err.Error())
 	}
@@ -66,6 +74,9 @@
 	if s.opts.WrapListener != nil {
 		l = s.opts.WrapListener(l)
 	}
+	if s.opts.Limiter != nil {
+		l = s.opts.Limiter.Listener(l)
+	}
 	if s.opts.TLS != nil {
 		l = tls.NewListener(l, s.opts.TLS)
 	}
@@ -81,6 +92,9 @@
 		IdleTimeout:       s.opts.IdleTimeout,
 		Protocols:         &protocols,
 	}
+	if s.opts.Limiter != nil {
+		s.opts.Limiter.Configure(s.server)
+	}
 	go func() {
 		// Serve returns ErrServerClosed after Stop and is not expected to fail otherwise.
 		_ = s.server.Serve(l)
