--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarackworks/tamarackworks/coordinator"
 	"github.com/tamarackworks/tamarackworks/frontend"
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 )
 
 // Guards against metrics that docs/OPERATIONS.md does not describe, and descriptions of metrics that do not exist.
@@ -20,6 +21,7 @@
 	registry := &descriptionRecorder{descriptions}
 	coordinator.NewMetrics(registry)
 	frontend.NewMetrics(registry)
+	ingresslimit.NewMetrics(registry)
 	close(descriptions)
 	name := regexp.MustCompile(`fqName: "([a-z_]+)"`)
 	var registered []string
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,8 @@
 // answers callers.
 func register(k *kernel.Kernel, path string, n *Node, t *telemetry.Telemetry) error {
 	s := n.settings
+	limits := n.newIngressLimits(t)
+	ingress := platform.NewIngress(n.frontend)
 	if err := k.Register("observer", &observer{node: n}); err != nil {
 		return err
 	}
@@ -94,13 +96,13 @@
 		name    string
 		options daemon.HTTPOptions
 	}{
-		{"internal", daemon.HTTPOptions{Address: s.InternalListen, Handler: n.internalHandler()}},
-		{"admin", daemon.HTTPOptions{Address: s.AdminListen, Handler: adminHandler(t)}},
+		{"internal", daemon.HTTPOptions{Address: s.InternalListen, Handler: n.internalHandler(), Limiter: limits.internal()}},
+		{"admin", daemon.HTTPOptions{Address: s.AdminListen, Handler: adminHandler(t), Limiter: limits.small("admin")}},
 		{"callers", daemon.HTTPOptions{
-			Address: s.CallerListen, Handler: n.callerHandler(), MaxHeaderBytes: maxHeaderBytes,
-			ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: callerIdleTimeout,
+			Address: s.CallerListen, Handler: n.callerHandler(ingress), MaxHeaderBytes: maxHeaderBytes,
+			ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: callerIdleTimeout, Limiter: limits.callers(ingress),
 		}},
-		{"ready", daemon.HTTPOptions{Address: s.ReadyListen, Handler: n.readyHandler()}},
+		{"ready", daemon.HTTPOptions{Address: s.ReadyListen, Handler: n.readyHandler(), Limiter: limits.small("ready")}},
 	}
 	for _, server := range servers {
 		if err := k.Register(server.name, daemon.NewHTTPServer(server.options)); err != nil {
@@ -253,8 +255,7 @@
 }
 
 // callerHandler serves callers. While the host stops, it makes them close their connections.
-func (n *Node) callerHandler() http.Handler {
-	ingress := platform.NewIngress(n.frontend)
+func (n *Node) callerHandler(ingress *platform.Ingress) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.stopping.Load() {
 			w.Header().Set("Connection", "close")
--- a/settings/node.go
+++ b/settings/node.go
@@ -40,9 +40,30 @@
 	// than Grace.
 	LameDuck time.Duration
 
+	Ingress Ingress
+
 	Telemetry Telemetry
 }
 
+// Ingress holds the limits on what clients can make a process hold. Values of 0 are derived from the host.
+type Ingress struct {
+	// Connections bounds the open connections of all listeners together.
+	Connections int
+	// BodyBytes bounds the bytes of request bodies in memory.
+	BodyBytes int
+	// MinBodyRate is the number of bytes a second that a client must send of a body in the long run.
+	MinBodyRate int
+}
+
+// readIngress reads the limits from a section.
+func readIngress(l *Loader, section string) Ingress {
+	return Ingress{
+		Connections: l.Int(section, "connections", 0, 48, 1<<16),
+		BodyBytes:   l.Int(section, "body_bytes", 0, 1<<20, 1<<34),
+		MinBodyRate: l.Int(section, "min_body_rate", 16<<10, 1, 1<<30),
+	}
+}
+
 // LoadNode reads and validates the settings of an entry host.
 func LoadNode(path string) (*Node, error) {
 	l, err := Open(path)
@@ -73,6 +94,7 @@
 		ConfigApply:    l.Duration("bounds", "config_apply", 2*time.Second, 100*time.Millisecond, time.Minute),
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
+		Ingress:        readIngress(l, "ingress"),
 		Telemetry:      ReadTelemetry(l),
 	}
 	if n.AdviceAddress != "" {
