--- a/agent/admin.go
+++ b/agent/admin.go
@@ -19,5 +19,5 @@
 		}
 	})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(a.telemetry.Registry, promhttp.HandlerOpts{}))
-	return k.Register("admin", a.httpServer(a.settings.AdminListen, mux, nil))
+	return k.Register("admin", a.httpServer(a.settings.AdminListen, mux, nil, a.limits.admin()))
 }
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/tamarackworks/tamarackworks/daemon"
 	"github.com/tamarackworks/tamarackworks/entry"
 	"github.com/tamarackworks/tamarackworks/fleet"
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 	"github.com/tamarackworks/tamarackworks/jobs"
 	"github.com/tamarackworks/tamarackworks/kernel"
 	"github.com/tamarackworks/tamarackworks/leader"
@@ -57,13 +58,15 @@
 	// incarnation identifies this run of the process.
 	incarnation string
 
+	limits ingressLimits
+
 	// callers maps the tokens of callers to their names.
 	callers map[string]string
 }
 
 // New creates the services of an entry host and registers them in k, in the order in which they start.
 func New(k *kernel.Kernel, s *settings.Entry, t *telemetry.Telemetry) error {
-	a := &Agent{settings: s, telemetry: t, log: t.Log, incarnation: uuid.NewString()}
+	a := &Agent{settings: s, telemetry: t, log: t.Log, incarnation: uuid.NewString(), limits: newIngressLimits(s, t)}
 	steps := []func(*kernel.Kernel) error{
 		a.addCredentials, a.addPlatform, a.addReplica, a.addRouting, a.addClaims, a.addControl,
 		a.addPeers, a.addMembership, a.addJobs, a.addOperator, a.addAdmin, a.addController, a.addEntry,
@@ -166,7 +169,7 @@
 		return err
 	}
 	return errors.Join(
-		k.Register("entry", a.httpServer(a.settings.CallerListen, a.entry.Handler(), nil)),
+		k.Register("entry", a.httpServer(a.settings.CallerListen, a.entry.Handler(), nil, a.limits.callers(a.entry))),
 		k.Register("drain", stopService{a.drain}),
 	)
 }
@@ -187,10 +190,10 @@
 func (s stopService) Stop(ctx context.Context) error { return s.stop(ctx) }
 
 // httpServer returns a server of HTTP, or of HTTPS if config is not nil, with the configured limits.
-func (a *Agent) httpServer(address string, h http.Handler, config *tls.Config) *daemon.HTTPServer {
+func (a *Agent) httpServer(address string, h http.Handler, config *tls.Config, limiter *ingresslimit.Limiter) *daemon.HTTPServer {
 	l := a.settings.Limits
 	return daemon.NewHTTPServer(daemon.HTTPOptions{
 		Address: address, Handler: h, TLS: config, MaxHeaderBytes: l.MaxHeaderBytes,
-		ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout, IdleTimeout: l.IdleTimeout,
+		ReadHeaderTimeout: l.ReadHeaderTimeout, ReadTimeout: l.ReadTimeout, IdleTimeout: l.IdleTimeout, Limiter: limiter,
 	})
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 	"github.com/tamarackworks/tamarackworks/structs"
 )
 
@@ -84,6 +85,15 @@
 		if errors.As(err, &tooLarge) {
 			return structs.Job{}, 0, bodyTooLargeError(maxJobBytes)
 		}
+		if errors.Is(err, ingresslimit.ErrNoRoom) {
+			ingresslimit.Discard(w)
+			e := noRoomError()
+			if key != "" {
+				// An earlier submission of the key may have been accepted.
+				e.Outcome = structs.OutcomeUnknown
+			}
+			return structs.Job{}, 0, e
+		}
 		return structs.Job{}, 0, permanentError(http.StatusBadRequest, CodeMalformedBody, "the body must be the declaration of a job in JSON")
 	}
 	if s.opts.View().Services[sub.Spec.Service] == nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/tamarackworks/tamarackworks/claims"
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 	"github.com/tamarackworks/tamarackworks/structs"
 )
 
@@ -240,12 +241,21 @@
 func (s *Server) readBody(w http.ResponseWriter, hr *http.Request, req *request) *APIError {
 	limit := s.bodyLimit(req.service)
 	if hr.ContentLength > limit {
+		ingresslimit.Discard(w)
 		return bodyTooLargeError(limit)
 	}
+	if ingresslimit.Admit(hr) != nil {
+		ingresslimit.Discard(w)
+		return noRoomError()
+	}
 	// If the connection does not support read deadlines, the timeouts of its HTTP server apply.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(req.deadline)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	defer func() {
+		if control != nil {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+	}()
 	body, err := readAll(http.MaxBytesReader(w, hr.Body, limit), hr.ContentLength)
 	if err == nil {
 		req.body = body
@@ -255,6 +265,10 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return bodyTooLargeError(limit)
+	case errors.Is(err, ingresslimit.ErrNoRoom):
+		control = nil
+		ingresslimit.Discard(w)
+		return noRoomError()
 	case !s.opts.Now().Before(req.deadline):
 		return deadlineExpiredError()
 	case errors.Is(err, context.Canceled):
@@ -274,6 +288,22 @@
 	return body, err
 }
 
+// noRoomError is the error of a request whose body is not read because the bodies in memory use up their budget.
+func noRoomError() *APIError {
+	return retryableError(http.StatusServiceUnavailable, CodeRejected, "this entry host has no room for the body", minRetryAfter)
+}
+
+// Refuse answers a request of a caller for which the entry host has no room, before anything of it was read.
+func (s *Server) Refuse(w http.ResponseWriter, hr *http.Request) {
+	ingresslimit.Discard(w)
+	e := noRoomError()
+	if hr.Header.Get(HeaderIdempotencyKey) != "" {
+		// An earlier submission of the key may have run.
+		e.Outcome = structs.OutcomeUnknown
+	}
+	writeError(w, e)
+}
+
 func callerGoneError(outcome structs.Outcome) *APIError {
 	return &APIError{Status: statusClientClosedRequest, Code: CodeCallerGone, Message: "the caller closed the connection", Outcome: outcome}
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -90,6 +90,9 @@
 	ReadHeaderTimeout time.Duration
 	ReadTimeout       time.Duration
 	IdleTimeout       time.Duration
+	// MemoryMB is the memory of the host in MiB, from which the limits of Ingress are derived.
+	MemoryMB int
+	Ingress  Ingress
 	// MaxQueue bounds the waiting requests of each service.
 	MaxQueue int
 	// DefaultDeadline applies to requests without a deadline; MaxDeadline bounds the deadlines that callers set.
@@ -203,6 +206,8 @@
 		ReadHeaderTimeout: l.Duration("limits", "read_header_timeout", 5*time.Second, 100*time.Millisecond, time.Minute),
 		ReadTimeout:       l.Duration("limits", "read_timeout", 30*time.Second, time.Second, time.Hour),
 		IdleTimeout:       l.Duration("limits", "idle_timeout", time.Minute, time.Second, time.Hour),
+		MemoryMB:          l.Int("limits", "memory_mb", 184, 32, 1<<20),
+		Ingress:           readIngress(l, "limits"),
 		MaxQueue:          l.Int("limits", "max_queue", 1024, 1, 1<<20),
 		DefaultDeadline:   l.Duration("limits", "default_deadline", 10*time.Second, 10*time.Millisecond, time.Hour),
 		MaxDeadline:       l.Duration("limits", "max_deadline", 10*time.Minute, time.Second, 24*time.Hour),
