--- a/internal/ingresscheck/main_test.go
+++ b/internal/ingresscheck/main_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -186,17 +185,3 @@
 		t.Fatalf("%s: %v", what, err)
 	}
 }
-
-// freeAddresses returns n free loopback addresses.
-func freeAddresses(t *testing.T, n int) []string {
-	t.Helper()
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		// All stay open until all are known, so that they differ.
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
-}
--- a/internal/ingresscheck/node_test.go
+++ b/internal/ingresscheck/node_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1/schedulev1connect"
+	"github.com/tamarackworks/tamarackworks/internal/localfleet"
 	"github.com/tamarackworks/tamarackworks/platform"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
@@ -38,7 +39,8 @@
 	store := rows.New()
 	store.Put(rowstore.Key{Table: platform.OperatorTable, Name: "config"},
 		[]byte(`{"Version":1,"Routes":[{"Name":"q","Host":"h","Prefix":"/q/","Service":"s"}],"Services":[{"Name":"s"}]}`))
-	a := freeAddresses(t, 4)
+	a, err := localfleet.FreeAddresses(4)
+	assert.NilError(t, err)
 	n := &testNode{callers: a[0], ready: a[1], internal: a[2], admin: a[3], ended: make(chan struct{})}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "node.ini")
@@ -71,6 +73,10 @@
 		_ = cmd.Process.Signal(syscall.SIGKILL)
 		<-n.ended
 		assert.Check(t, log.Close())
+		if t.Failed() {
+			content, err := os.ReadFile(log.Name())
+			t.Logf("log (%v): %s", err, content[max(0, len(content)-4000):])
+		}
 	})
 	await(t, "ready", func() error {
 		resp, err := http.Get("http://" + n.ready + "/readyz")
--- a/internal/localfleet/ports.go
+++ b/internal/localfleet/ports.go
@@ -49,6 +49,16 @@
 	return "", errors.Wrapf(ErrNoFreePort, "between %d and %d", firstPort, lastPort)
 }
 
+// FreeAddresses returns n loopback addresses whose ports were free when they were probed.
+func FreeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	dst := make([]*string, n)
+	for i := range addresses {
+		dst[i] = &addresses[i]
+	}
+	return addresses, assignFreeAddresses(dst...)
+}
+
 // assignFreeAddresses sets each element of dst to a free loopback address.
 func assignFreeAddresses(dst ...*string) error {
 	for _, d := range dst {
