--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarackworks/tamarackworks/coordinator"
 	"github.com/tamarackworks/tamarackworks/frontend"
+	"github.com/tamarackworks/tamarackworks/ingresslimit"
 	"github.com/tamarackworks/tamarackworks/ownership"
 )
 
@@ -22,6 +23,7 @@
 	coordinator.NewMetrics(registry)
 	frontend.NewMetrics(registry)
 	ownership.NewMetrics(registry)
+	ingresslimit.NewMetrics(registry)
 	close(descriptions)
 	name := regexp.MustCompile(`fqName: "([a-z_]+)"`)
 	var registered []string
