--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -183,7 +183,7 @@
 			// Without machines, nothing is known of how fast work will be done.
 			continue
 		}
-		slices.SortStableFunc(s.jobs, func(a, b jobLoad) int { return cmp.Compare(a.work, b.work) })
+		slices.SortFunc(s.jobs, func(a, b jobLoad) int { return cmp.Compare(a.work, b.work) })
 		for _, q := range s.queues {
 			horizon, slack, ok := typicalLimits(s.jobs, q.name)
 			if !ok {
@@ -252,7 +252,7 @@
 				}
 			}
 		}
-		slices.SortStableFunc(own, func(a, b jobLoad) int { return cmp.Compare(a.work, b.work) })
+		slices.SortFunc(own, func(a, b jobLoad) int { return cmp.Compare(a.work, b.work) })
 		for i := range in.services {
 			for _, q := range in.services[i].queues {
 				horizon, slack, ok := typicalLimits(own, q.name)
