--- a/scheduler/executorhealth.go
+++ b/scheduler/executorhealth.go
@@ -78,6 +78,8 @@
 	minSilent = 2
 	// minSilentShare is the least share of the rack that they must be, so that two unrelated ones do not close a large rack.
 	minSilentShare = 0.25
+	// minRackEvidence is the weight of evidence, in runs, below which a rack without executors is forgotten.
+	minRackEvidence = 0.01
 )
 
 // rackOf returns the health of a rack, nil for no rack. It is created on first use.
@@ -214,8 +216,10 @@
 // updateSlow sets which executors are slow.
 func (c *Core) updateSlow(now time.Duration) {
 	threshold := math.Log(slowRatio)
-	for _, r := range c.racks {
-		r.slowdown.decay(now)
+	for name, r := range c.racks {
+		if r.slowdown.decay(now); r.members == 0 && r.slowdown.weight < minRackEvidence {
+			delete(c.racks, name)
+		}
 	}
 	for _, e := range c.executors {
 		e.slowdown.decay(now)
@@ -242,11 +246,14 @@
 	// that it counts as.
 	initialFarRatio = 2.0
 	farPriorWeight  = 10.0
+	// maxFarRatio bounds ratios seen and the one learned. A stalled owner sees starts late, and so run times that are far too short.
+	maxFarRatio = 8.0
 )
 
 // add adds the ratio of a run. Only the first run of a step counts, because the expectation of later ones includes runs elsewhere.
 func (l *locality) add(ratio float64, near, first bool) {
 	const keep = 1 - 1.0/runtimeMemory
+	ratio = min(max(ratio, 1/maxFarRatio), maxFarRatio)
 	switch {
 	case !first:
 	case near:
@@ -260,7 +267,7 @@
 func (l *locality) ratio() float64 {
 	nearMean := l.nearSum / (l.near + farPriorWeight)
 	excess := l.farSum - l.far*nearMean
-	return max(math.Exp((farPriorWeight*math.Log(initialFarRatio)+excess)/(farPriorWeight+l.far)), 1)
+	return min(max(math.Exp((farPriorWeight*math.Log(initialFarRatio)+excess)/(farPriorWeight+l.far)), 1), maxFarRatio)
 }
 
 // waitsForRack reports whether a task, for which there is only room outside of the rack of its data, does better to wait for the next
--- a/scheduler/executorhealth_test.go
+++ b/scheduler/executorhealth_test.go
@@ -143,3 +143,28 @@
 	}
 	assert.Assert(t, l.ratio() > 3.5 && l.ratio() < 4.1, "%f", l.ratio())
 }
+
+// Guards against tasks that wait many times their run time for the rack of their data, because an owner that was held up saw starts and
+// ends of short runs at nearly the same moment.
+func TestLocalityIsBounded(t *testing.T) {
+	l := locality{}
+	for range 50 {
+		l.add(0, true, true)
+		l.add(20, false, true)
+	}
+	assert.Assert(t, l.ratio() <= maxFarRatio, "%f", l.ratio())
+}
+
+// Guards against the health of racks that no executor is in any more, which would be kept for the whole term.
+func TestRacksWithoutExecutorsAreForgotten(t *testing.T) {
+	h := newHarness(t, 0)
+	for i := range 50 {
+		h.addExecutorIn("x", fmt.Sprint("r", i))
+	}
+	h.core.executors["x"].blame(h.now, lostRunRatio, 1)
+	h.core.EndExecutor(h.now, "x")
+	h.core.Tick(h.now, 0)
+	assert.Equal(t, len(h.core.racks), 1, "the evidence of the last one still counts")
+	h.core.Tick(h.now+10*slowdownHalfLife, 0)
+	assert.Equal(t, len(h.core.racks), 0)
+}
