--- a/frontend/closures_test.go
+++ b/frontend/closures_test.go
@@ -128,3 +128,19 @@
 		assert.Assert(t, accepted == 3 || accepted == 4, "%d", accepted)
 	})
 }
+
+// Guards against the refusal of a job that may be stored, because many later submissions displaced what the host knows of it.
+func TestUncertainSubmissionsOutlastCertainOnes(t *testing.T) {
+	var s submissions
+	const uncertain = maxSubmissions / 5
+	for i := range uncertain {
+		s.record(fmt.Sprint("uncertain", i), 0, true)
+	}
+	for i := range maxSubmissions {
+		s.record(fmt.Sprint("refused", i), time.Second, false)
+	}
+	for i := range uncertain {
+		assert.Assert(t, !s.isCertain(fmt.Sprint("uncertain", i), time.Second, 0))
+	}
+	assert.Assert(t, len(s.byID) <= maxSubmissions)
+}
--- a/frontend/submissions.go
+++ b/frontend/submissions.go
@@ -52,7 +52,7 @@
 	return s.attempts[id] <= own && !(ok && x.uncertain && now-x.firstAt <= submissionTTL)
 }
 
-// record remembers a submission at a time. If there are too many, it forgets those that are too old, or else any.
+// record remembers a submission at a time. If there are too many, makeRoom drops some.
 func (s *submissions) record(id string, now time.Duration, uncertain bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,16 +68,24 @@
 	s.byID[id] = x
 }
 
-// makeRoom ensures that one more submission can be remembered; the caller holds the lock.
+// makeRoom ensures that one more submission can be remembered; the caller holds the lock. It drops a tenth of the submissions at once,
+// because each pass reads all of them. Uncertain ones go last: without them, a job that is stored could be refused.
 func (s *submissions) makeRoom(now time.Duration) {
 	if len(s.byID) < maxSubmissions {
 		return
 	}
+	const target = maxSubmissions * 9 / 10
 	for id, x := range s.byID {
-		if now-x.firstAt > submissionTTL || len(s.byID) >= maxSubmissions {
+		if now-x.firstAt > submissionTTL || !x.uncertain && len(s.byID) > target {
 			delete(s.byID, id)
 		}
 	}
+	for id := range s.byID {
+		if len(s.byID) <= target {
+			return
+		}
+		delete(s.byID, id)
+	}
 }
 
 // get returns a submission, or false if none is remembered.
