--- a/frontend/closures_test.go
+++ b/frontend/closures_test.go
@@ -79,6 +79,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		first, second, owner := newFixture(t), newFixture(t), newFixture(t)
 		first.owner.frontend, second.owner.frontend = owner.frontend, owner.frontend
+		first.match.Policy = workload.Policy{Objective: 600}
 		first.handle.SetFault(func(bool) rows.Fault { return rows.Late })
 		ctx, disconnect := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		defer disconnect()
@@ -144,3 +145,20 @@
 	}
 	assert.Assert(t, len(s.byID) <= maxSubmissions)
 }
+
+// Guards against messages to the owner, and responses held back for them, where no queue can be closed.
+func TestOnlyJobsThatCanBeRefusedAreReportedAsUncertain(t *testing.T) {
+	for _, objective := range []workload.Millis{0, 600} {
+		synctest.Test(t, func(t *testing.T) {
+			x, other := newFixture(t), newFixture(t)
+			x.owner.frontend = other.frontend
+			x.match.Policy = workload.Policy{Objective: objective}
+			x.handle.SetFault(func(bool) rows.Fault { return rows.Late })
+			ctx, disconnect := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer disconnect()
+			assert.Equal(t, x.frontend.Submit(ctx, x.match, &workload.Job{ID: "j"}).Outcome, Unknown)
+			assert.Equal(t, other.frontend.submitted.isUncertain("j", other.frontend.opts.Now()), objective > 0)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -347,7 +347,7 @@
 	if outcome != OK {
 		f.submitted.record(job.ID, start, outcome == Unknown)
 	}
-	if outcome == Unknown {
+	if outcome == Unknown && scheduler.MayBeRefused(job) {
 		f.reportUncertain(job.ID)
 	}
 	entry := f.opts.Log.WithFields(log.Fields{"job": job.ID, "queue": m.Name, "config": m.ConfigVersion, "tries": tries})
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -352,8 +352,14 @@
 	return 0, false
 }
 
-// Refuses reports whether the closure holds for a job of its queue that arrives now. Long-running and recurring jobs are never
-// refused.
+// MayBeRefused reports whether a closure can hold for a job. Long-running and recurring jobs and those without an objective are
+// never refused.
+func MayBeRefused(job *workload.Job) bool {
+	longRunning := slices.ContainsFunc(job.Steps, func(s workload.Step) bool { return s.LongRunning })
+	return job.Policy.Objective > 0 && job.Recurrence == nil && !longRunning
+}
+
+// Refuses reports whether the closure holds for a job of its queue that arrives now.
 func (x *Closure) Refuses(job *workload.Job) bool {
 	work, horizon, ok := x.forecast(job)
 	return ok && work > x.Work && horizon < x.Horizon
@@ -362,16 +368,13 @@
 // forecast returns the expected work of a job and how long it may wait before its result has no value. It returns false for
 // jobs that are never refused.
 func (x *Closure) forecast(job *workload.Job) (work int64, horizon time.Duration, ok bool) {
-	if job.Recurrence != nil || job.Policy.Objective <= 0 {
+	if !MayBeRefused(job) {
 		return 0, 0, false
 	}
 	model := runtimeModel{slope: x.Slope, shift: x.Shift}
 	ends, longest := make([]time.Duration, len(job.Steps)), time.Duration(0)
 	for i := range job.Steps {
 		s := &job.Steps[i]
-		if s.LongRunning {
-			return 0, 0, false
-		}
 		runtime := model.predict(s.Estimate.Duration())
 		work += int64(s.Count) * int64(s.Size.CPUMilli) * runtime.Milliseconds()
 		for _, earlier := range s.After {
