--- a/interference/regression.go
+++ b/interference/regression.go
@@ -185,10 +185,14 @@
 // effect returns the rise by an image that the observations prove; 0 if they prove none.
 func (r *response) effect(now time.Duration, image string) float64 {
 	i := r.index(image)
-	if i < 0 || r.beside[i].weight*r.faded(now) < minPairObservations {
+	if i < 0 {
 		return 0
 	}
-	return max(r.coefficients[i+1]-confidence*r.errors[i+1], 0)
+	rise := r.coefficients[i+1] - confidence*r.errors[i+1]
+	if rise <= 0 || r.beside[i].weight*r.faded(now) < minPairObservations {
+		return 0
+	}
+	return rise
 }
 
 // solve solves the regression if the last solution is older than solveInterval.
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -146,22 +146,35 @@
 
 // expectedCPU returns the CPU that a long-running task uses at full pace: what it or other tasks of its step were seen to use, else
 // what it asks for. The load of a serving task is not reported.
-func (t *task) expectedCPU() float64 {
+func (p *placement) expectedCPU(t *task) float64 {
 	if t.serves() {
 		return float64(t.step.spec.Size.CPUMilli)
 	}
 	if t.cpuAtFullPace > 0 {
 		return t.cpuAtFullPace
 	}
+	cpu, ok := p.stepCPU[t.step]
+	if !ok {
+		cpu = t.step.meanCPUAtFullPace()
+		if p.stepCPU == nil {
+			p.stepCPU = make(map[*step]float64)
+		}
+		p.stepCPU[t.step] = cpu
+	}
+	return cpu
+}
+
+// meanCPUAtFullPace returns the mean of the tasks that were seen, or what the step asks for if none was.
+func (s *step) meanCPUAtFullPace() float64 {
 	sum, n := 0.0, 0
-	for _, other := range t.step.tasks {
-		if other.cpuAtFullPace > 0 {
-			sum += other.cpuAtFullPace
+	for _, t := range s.tasks {
+		if t.cpuAtFullPace > 0 {
+			sum += t.cpuAtFullPace
 			n++
 		}
 	}
 	if n == 0 {
-		return float64(t.step.spec.Size.CPUMilli)
+		return float64(s.spec.Size.CPUMilli)
 	}
 	return sum / float64(n)
 }
@@ -178,9 +191,13 @@
 
 // separation keeps a long-running task that is to be placed apart from tasks with which it interferes.
 type separation struct {
-	core *Core
-	now  time.Duration
-	task *task
+	core      *Core
+	now       time.Duration
+	placement *placement
+	task      *task
+	// residents and loads are reused for each executor.
+	residents []*task
+	loads     []interference.Load
 	// best is the executor with the least penalty if interference is left out, bestPair the pair of images with the highest
 	// predicted ratio there.
 	best        *executor
@@ -196,7 +213,7 @@
 	if !spec.LongRunning || spec.Image == "" || spec.Gang || t.suspect() || p.core.opts.IgnoreInterference || p.core.interference.model.Pairs() == 0 {
 		return nil
 	}
-	return &separation{core: p.core, now: p.now, task: t}
+	return &separation{core: p.core, now: p.now, placement: p, task: t}
 }
 
 // penalty returns the penalty of an executor for interference, in addition to other penalties of the sum others.
@@ -227,13 +244,17 @@
 // its own count. Finite tasks are left out: they end within seconds.
 func (s *separation) predict(e *executor) (worst float64, pair interference.Pair) {
 	model, image := s.core.interference.model, s.task.step.spec.Image
-	residents := []*task{s.task}
-	loads := []interference.Load{s.task.loadOf(e, s.task.expectedCPU())}
+	residents := append(s.residents[:0], s.task)
+	loads := append(s.loads[:0], s.task.loadOf(e, s.placement.expectedCPU(s.task)))
 	for t := range e.tasks {
 		if t.step.spec.LongRunning && (t.state == taskStarting || t.state == taskRunning) {
-			residents, loads = append(residents, t), append(loads, t.loadOf(e, t.expectedCPU()))
+			residents, loads = append(residents, t), append(loads, t.loadOf(e, s.placement.expectedCPU(t)))
 		}
 	}
+	s.residents, s.loads = residents, loads
+	if len(residents) == 1 {
+		return 0, interference.Pair{}
+	}
 	for i, t := range residents {
 		beside := interference.Pair{Serving: t.step.spec.Image, Beside: image}
 		if !t.serves() || beside.Serving == "" || (t != s.task && model.Rise(s.now, beside) == 0) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -156,6 +156,8 @@
 	cordoned    *placement
 	// rackEnds holds, by rack, the expected ends that no task of this pass waits for yet.
 	rackEnds map[string][]time.Duration
+	// stepCPU holds the results of step.meanCPUAtFullPace in this pass.
+	stepCPU map[*step]float64
 	// waited is set once a task waits for room in the rack of its data.
 	waited bool
 	// allFull is set once no candidate has room for any ready task that is left.
