--- a/pools/forecast.go
+++ b/pools/forecast.go
@@ -76,6 +76,8 @@
 type forecast struct {
 	burst
 	certainty float64
+	// wrong is set once it was judged as wrong.
+	wrong bool
 }
 
 func newTurns() *turns {
@@ -236,7 +238,13 @@
 		return
 	}
 	onTime := (t.next.began - b.began).Abs() <= moveTime
-	t.record(onTime && (t.next.pool == "" || t.next.pool == b.pool))
+	switch right := onTime && (t.next.pool == "" || t.next.pool == b.pool); {
+	case right:
+		t.record(true)
+	case !t.next.wrong:
+		t.next.wrong = true
+		t.record(false)
+	}
 }
 
 // judgeMissing ends a forecast whose burst did not begin within a move of its time. It was wrong unless callers were cut off meanwhile.
@@ -248,7 +256,7 @@
 		// It is too early to tell whether this is the burst.
 		return
 	}
-	if t.silentAt < t.next.began-moveTime {
+	if t.silentAt < t.next.began-moveTime && !t.next.wrong {
 		t.record(false)
 	}
 	t.predict(now)
@@ -271,7 +279,7 @@
 
 // expected returns the next burst while its forecast is certain enough to be used, else nil.
 func (t *turns) expected() *forecast {
-	if t.next == nil || t.next.certainty < minCertainty {
+	if t.next == nil || t.next.certainty < minCertainty || t.wrongInARow >= maxWrong {
 		return nil
 	}
 	return t.next
--- a/pools/forecast_test.go
+++ b/pools/forecast_test.go
@@ -201,6 +201,15 @@
 	assert.Equal(t, m.wrongInARow, 2)
 	assert.Assert(t, m.expected() == nil)
 	assert.Assert(t, observeTurns(5, 15, 25, 35, 45, 55, 85, 95, 105, 115).expected() != nil, "the turns went on")
+	m = observeTurns(5, 15, 25, 35, 45, 55, 70, 74)
+	assert.Equal(t, m.wrongInARow, 2, "65 was missing, 70 not expected")
+	assert.Assert(t, m.expected() == nil)
+}
+
+// Guards against a forecast that counts as wrong twice, for a burst at another time and because its own is missing.
+func TestForecastsAreWrongOnce(t *testing.T) {
+	m := observeTurns(5, 15, 25, 35, 45, 55, 60, 72)
+	assert.Equal(t, m.wrong, 1, "60 instead of 65")
 }
 
 // Guards against plans that change for pools whose demand is steady, and against a model that goes on to use forecasts of bursts
