--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -268,7 +268,7 @@
 					if wait := ahead.timeUnder(o.cap); wait > time.Duration(closeAt*float64(horizon)) {
 						closures = append(closures, Closure{
 							Queue: q.name, Organisation: name, Cause: ClosedForCap, Work: j.work, Horizon: horizon,
-							Return: max(wait-slack, 0), Rate: max(ahead.cpu/wait.Milliseconds(), 1), Floor: organisationFloor, Slope: q.slope, Shift: q.shift,
+							Return: max(wait-slack, 0), Rate: max(ahead.cpu/max(wait.Milliseconds(), 1), 1), Floor: organisationFloor, Slope: q.slope, Shift: q.shift,
 						})
 						break
 					}
--- a/scheduler/overload_input.go
+++ b/scheduler/overload_input.go
@@ -29,6 +29,10 @@
 	overloadGap = 2 * time.Second
 	// lendTime is how long it takes until an idle machine of another service can arrive.
 	lendTime = 1700 * time.Millisecond
+	// maxLoadHorizon and maxLoadSize, in the unit of each resource, bound the jobs that count. Callers may send any estimates and
+	// sizes, and the sums of those that make no sense overflow.
+	maxLoadHorizon = time.Hour
+	maxLoadSize    = 10_000_000
 )
 
 // Closures returns which jobs are refused at a time, given the machines that are expected. It is called several times a second;
@@ -122,6 +126,9 @@
 			l.horizon, l.slack = waitLimit(j.policy, longest), objective(j.policy, longest)-longest
 			l.left = j.submitted + tooLateFactor*x.objective - now - x.longest
 		}
+		if l.horizon <= 0 || l.horizon > maxLoadHorizon || !j.hasUsualSizes() {
+			continue
+		}
 		if size, ok := smallest[l.organisation]; !ok {
 			smallest[l.organisation] = x.minSize
 		} else {
@@ -132,6 +139,14 @@
 	return loads
 }
 
+// hasUsualSizes reports whether the sizes of all tasks are within maxLoadSize.
+func (j *job) hasUsualSizes() bool {
+	return !slices.ContainsFunc(j.spec.Steps, func(s workload.Step) bool {
+		r := s.Reserved()
+		return min(r.CPUMilli, r.MemoryMB, r.GPUs) < 0 || max(r.CPUMilli, r.MemoryMB, r.GPUs) > maxLoadSize
+	})
+}
+
 // machineSupplies returns the CPU of each service: that of executors which are registered, whether they respond or not, without
 // long-running tasks; that of expected machines; and that of idle executors of other services, which may be moved.
 func (c *Core) machineSupplies(loads map[string]*serviceLoad, machines []ExpectedMachine) map[string]machineSupply {
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -117,3 +118,23 @@
 	}
 	assert.Equal(t, closed(), 0)
 }
+
+// Guards against a panic of the owner because of a job whose estimate makes no sense: callers may send any. At its cap, an organisation
+// has such a job and one that is done in less than a millisecond of its cap.
+func TestEstimatesThatOverflowAreLeftOut(t *testing.T) {
+	for _, estimate := range []workload.Millis{math.MinInt64, 3e12, 5e12, 9e12, math.MaxInt64} {
+		h := newHarness(t, 1)
+		config := *h.core.config
+		config.Version, config.Organisations = 2, []workload.Organisation{{Name: "o", Weight: 10, Cap: workload.Resources{CPUMilli: 1000}}}
+		h.core.Configure(h.now, &config)
+		h.submitFor("o", "runs", batchStep(1, 1000))
+		for id, x := range map[string]workload.Millis{"odd": estimate, "tiny": 50} {
+			h.submitFor("o", id, workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 10}, Estimate: x})
+		}
+		assert.Equal(t, len(h.core.Closures(h.now, nil)), 0)
+		h.now += closureHold
+		for _, x := range h.core.Closures(h.now, nil) {
+			assert.Assert(t, x.Horizon > 0, "%d", estimate)
+		}
+	}
+}
