--- a/scheduler/overload_input.go
+++ b/scheduler/overload_input.go
@@ -29,6 +29,9 @@
 	overloadGap = 2 * time.Second
 	// lendTime is how long it takes until an idle machine of another service can arrive.
 	lendTime = 1700 * time.Millisecond
+	// maxBusyTime bounds how long a machine of another service may be busy and still count, and with it the entries of
+	// machineSupply.arriving.
+	maxBusyTime = 10 * time.Second
 	// maxLoadHorizon and maxLoadSize, in the unit of each resource, bound the jobs that count. Callers may send any estimates and
 	// sizes, and the sums of those that make no sense overflow.
 	maxLoadHorizon = time.Hour
@@ -87,7 +90,7 @@
 		m := c.runtimes(r.Name)
 		loads[r.Service].queues = append(loads[r.Service].queues, queueState{r.Name, r.Policy.Priority, m.slope, m.shift})
 	}
-	supplies := c.machineSupplies(loads, machines)
+	supplies := c.machineSupplies(now, loads, machines)
 	for service, load := range loads {
 		load.machines = supplies[service]
 		in.services = append(in.services, *load)
@@ -148,26 +151,31 @@
 }
 
 // machineSupplies returns the CPU of each service: that of executors which are registered, whether they respond or not, without
-// long-running tasks; that of expected machines; and that of idle executors of other services, which may be moved.
-func (c *Core) machineSupplies(loads map[string]*serviceLoad, machines []ExpectedMachine) map[string]machineSupply {
+// long-running tasks; that of expected machines; and that of other services' executors that are idle, or will be because no job waits
+// there, which may be moved.
+func (c *Core) machineSupplies(now time.Duration, loads map[string]*serviceLoad, machines []ExpectedMachine) map[string]machineSupply {
 	supplies := make(map[string]machineSupply, len(loads))
 	for _, e := range c.executors {
 		if !e.registered || e.info.Draining || e.cordoned {
 			continue
 		}
 		cpu := int64(e.info.Capacity.CPUMilli)
+		ends, busyFor := true, time.Duration(0)
 		for t := range e.tasks {
 			if t.step.spec.LongRunning {
 				cpu -= int64(t.step.spec.Reserved().CPUMilli)
+				ends = false
 			}
+			busyFor = max(busyFor, t.startedAt+t.step.runtime()-now)
 		}
+		ends = ends && busyFor <= maxBusyTime
 		for service := range loads {
 			s := supplies[service]
 			switch {
 			case e.info.Service == service:
 				s.now += max(cpu, 0)
-			case e.runs() == 0:
-				s.expect(cpu, lendTime)
+			case e.runs() == 0 || ends && (loads[e.info.Service] == nil || len(loads[e.info.Service].jobs) == 0):
+				s.expect(cpu, lendTime+busyFor)
 			}
 			supplies[service] = s
 		}
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -119,6 +119,34 @@
 	assert.Equal(t, closed(), 0)
 }
 
+// Guards against refusing jobs that machines of another service could do, whose last tasks end soon, and against counting on those that
+// have work of their own.
+func TestMachinesThatEndTheirWorkCountForOtherServices(t *testing.T) {
+	for _, others := range []int{1, 2} {
+		h := newHarness(t, 2)
+		config := *h.core.config
+		config.Version, config.Services = 2, append(config.Services, workload.Service{Name: "other"})
+		config.Routes = append(config.Routes, workload.Route{Name: "others", Service: "other", Policy: config.Routes[0].Policy})
+		h.core.Configure(h.now, &config)
+		h.running["y"] = make(map[workload.TaskID]workload.RunningTask)
+		h.core.PutExecutor(h.now, workload.Executor{ID: "y", Service: "other", Capacity: workload.Resources{CPUMilli: 100_000}, Kind: "a"})
+		h.report("y")
+		for i := range others {
+			assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
+				ID: fmt.Sprint("other", i), Route: "others", Service: "other", ConfigVersion: 2,
+				Steps: []workload.Step{{Count: 1, Size: workload.Resources{CPUMilli: 100_000}, Estimate: 1000}},
+			}, nil, 0, false))
+		}
+		for i := range 120 {
+			h.addJob(fmt.Sprintf("j%d", i), workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 1000}, Estimate: 1000})
+		}
+		h.runCommands()
+		h.core.Closures(h.now, nil)
+		h.now += closureHold
+		assert.Equal(t, len(h.core.Closures(h.now, nil)), others-1, "one runs, the second one waits")
+	}
+}
+
 // Guards against a panic of the owner because of a job whose estimate makes no sense: callers may send any. At its cap, an organisation
 // has such a job and one that is done in less than a millisecond of its cap.
 func TestEstimatesThatOverflowAreLeftOut(t *testing.T) {
