--- a/node/queueload.go
+++ b/node/queueload.go
@@ -31,6 +31,8 @@
 	// maxQueueLoadBytes and maxClosures bound the header. Closures beyond them are left out; their jobs are accepted.
 	maxQueueLoadBytes = 1000
 	maxClosures       = 20
+	// maxClosureTime bounds the times in the header. Hosts ignore a header with longer ones.
+	maxClosureTime = time.Hour
 	// maxQueueLoadAge is how long the owner repeats what it decided last. It decides several times a second while it leads.
 	maxQueueLoadAge = 600 * time.Millisecond
 )
@@ -97,11 +99,12 @@
 		return ""
 	}
 	number := func(x float64) string { return strconv.FormatFloat(x, 'g', 4, 64) }
+	milliseconds := func(d time.Duration) string { return strconv.FormatInt(min(d, maxClosureTime).Milliseconds(), 10) }
 	b := strconv.AppendInt(nil, int64(load.Hosts), 10)
 	for i, x := range load.Closures {
 		entry := ";" + strings.Join([]string{
 			url.QueryEscape(x.Queue), url.QueryEscape(x.Organisation), string(x.Cause), strconv.FormatInt(x.Work, 10),
-			strconv.FormatInt(x.Horizon.Milliseconds(), 10), strconv.FormatInt(x.Return.Milliseconds(), 10),
+			milliseconds(x.Horizon), milliseconds(x.Return),
 			strconv.FormatInt(x.Rate, 10), number(x.Floor), number(x.Slope), number(x.Shift),
 		}, ",")
 		if i >= maxClosures || len(b)+len(entry) > maxQueueLoadBytes {
@@ -165,7 +168,7 @@
 	default:
 		return x, errQueueLoad
 	}
-	const longest = int64(time.Hour / time.Millisecond)
+	const longest = int64(maxClosureTime / time.Millisecond)
 	x.Work = integer(fields[3], math.MaxInt64)
 	x.Horizon = time.Duration(integer(fields[4], longest)) * time.Millisecond
 	x.Return = time.Duration(integer(fields[5], longest)) * time.Millisecond
--- a/node/queueload_test.go
+++ b/node/queueload_test.go
@@ -120,3 +120,13 @@
 	address = ""
 	assert.Assert(t, !confirmed("j"))
 }
+
+// Guards against a single closure of long tasks whose times are out of range, so that hosts ignore all closures.
+func TestLongTimesAreCutInTheHeader(t *testing.T) {
+	load := loadOf(2, "")
+	load.Closures[1].Horizon, load.Closures[1].Return = 2*time.Hour, 30*time.Hour
+	got, err := decodeQueueLoad(encodeQueueLoad(load))
+	assert.NilError(t, err)
+	assert.Equal(t, len(got.Closures), 2)
+	assert.Equal(t, got.Closures[1].Return, time.Hour)
+}
