--- a/frontend/metrics.go
+++ b/frontend/metrics.go
@@ -12,9 +12,9 @@
 	duration *prometheus.HistogramVec
 	// configAge is the age of the configuration that requests were matched against.
 	configAge prometheus.Histogram
-	// rejections counts rejected jobs by queue and cause, told is the delay after which their callers were told to return.
+	// rejections counts rejected jobs by queue and cause, delays after which their callers were told to return.
 	rejections  *prometheus.CounterVec
-	told        *prometheus.HistogramVec
+	delays      *prometheus.HistogramVec
 	unconfirmed prometheus.Counter
 }
 
@@ -38,7 +38,7 @@
 		rejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_rejections_total", Help: "Submissions that were rejected, by queue and cause.",
 		}, []string{"queue", "cause"}),
-		told: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		delays: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "tamarack_retry_after_seconds", Help: "Delays after which callers of rejected submissions were told to return, by cause.",
 			Buckets: prometheus.ExponentialBuckets(1, 1.5, 9),
 		}, []string{"cause"}),
@@ -46,7 +46,7 @@
 			Name: "tamarack_unconfirmed_refusals_total", Help: "Submissions to closed queues that were not rejected, because the job may have been stored before or the owner did not respond.",
 		}),
 	}
-	r.MustRegister(m.requests, m.duration, m.configAge, m.rejections, m.told, m.unconfirmed)
+	r.MustRegister(m.requests, m.duration, m.configAge, m.rejections, m.delays, m.unconfirmed)
 	return m
 }
 
@@ -62,7 +62,7 @@
 // countRejection records one submission that was rejected, and the delay that its caller was told.
 func (m *Metrics) countRejection(queue, cause string, delay time.Duration) {
 	m.rejections.WithLabelValues(queue, cause).Inc()
-	m.told.WithLabelValues(cause).Observe(delay.Seconds())
+	m.delays.WithLabelValues(cause).Observe(delay.Seconds())
 }
 
 // countUnconfirmed records one submission that was not rejected because of a doubt.
--- a/scheduler/executorhealth.go
+++ b/scheduler/executorhealth.go
@@ -103,7 +103,7 @@
 	}
 	if e.rack != nil {
 		e.rack.members--
-		c.leavesSilent(e.rack, e.info.ID)
+		c.forgetSilence(e.rack, e.info.ID)
 	}
 	e.rack = r
 	if r != nil {
@@ -111,9 +111,9 @@
 	}
 }
 
-// goesSilent counts an executor that does not respond, and closes its rack if others have gone silent at the same time. One whose
+// recordSilence counts an executor that does not respond, and closes its rack if others have gone silent at the same time. One whose
 // process has ended, or whose machine is about to leave, tells nothing about the rack.
-func (c *Core) goesSilent(now time.Duration, e *executor) {
+func (c *Core) recordSilence(now time.Duration, e *executor) {
 	if e.refused || e.cordoned || e.info.Draining || !e.registered {
 		return
 	}
@@ -136,9 +136,9 @@
 	}
 }
 
-// answers notes that an executor responded to a request that was sent at a time. If it is one of those that went silent, or if the
+// recordAnswer notes that an executor responded to a request that was sent at a time. If it is one of those that went silent, or if the
 // request was sent after its rack became dark, the rack is not dark.
-func (c *Core) answers(e *executor, sentAt time.Duration) {
+func (c *Core) recordAnswer(e *executor, sentAt time.Duration) {
 	r := e.rack
 	if r == nil || len(r.silent) == 0 {
 		return
@@ -150,8 +150,8 @@
 	}
 }
 
-// leavesSilent notes that an executor has ended or left its rack. The rack is not dark if none of those that went silent is left.
-func (c *Core) leavesSilent(r *rackHealth, id string) {
+// forgetSilence notes that an executor has ended or left its rack. The rack is not dark if none of those that went silent is left.
+func (c *Core) forgetSilence(r *rackHealth, id string) {
 	delete(r.silent, id)
 	if len(r.silent) == 0 {
 		c.openRack(r)
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -161,7 +161,7 @@
 func (c *Core) LoseContact(now time.Duration, id string, refused bool) {
 	if e := c.executors[id]; e != nil && e.inContact {
 		e.inContact, e.noContactSince, e.refused = false, now, refused
-		c.goesSilent(now, e)
+		c.recordSilence(now, e)
 	}
 }
 
--- a/scheduler/interference.go
+++ b/scheduler/interference.go
@@ -108,7 +108,7 @@
 			}
 		}
 		if t.step.spec.LongRunning && t.pace == 100 && now-max(t.startedAt, e.paceChangedAt) >= settleTime {
-			t.seeCPU(x.TailLatencyOrCPU)
+			t.recordCPU(x.TailLatencyOrCPU)
 		}
 		loads = append(loads, t.loadOf(e, x.TailLatencyOrCPU))
 	}
@@ -136,8 +136,8 @@
 	return interference.Load{Image: image, CPU: cpu / float64(max(e.info.Capacity.CPUMilli, 1))}
 }
 
-// seeCPU adds a measurement to cpuAtFullPace. A single one is too rough.
-func (t *task) seeCPU(cpu float64) {
+// recordCPU adds a measurement to cpuAtFullPace. A single one is too rough.
+func (t *task) recordCPU(cpu float64) {
 	if t.cpuAtFullPace == 0 {
 		t.cpuAtFullPace = cpu
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -20,7 +20,7 @@
 		})
 	}
 	e.inContact, e.reportedAt = true, now
-	c.answers(e, sentAt)
+	c.recordAnswer(e, sentAt)
 	if !e.reported {
 		e.reported = true
 		c.dirtyServices[e.info.Service] = true
