--- a/scheduler/executorhealth.go
+++ b/scheduler/executorhealth.go
@@ -78,6 +78,8 @@
 	minSilent = 2
 	// minSilentShare is the least share of the rack that they must be, so that two unrelated ones do not close a large rack.
 	minSilentShare = 0.25
+	// minRackEvidence is the weight of evidence, in runs, below which a rack without executors is forgotten.
+	minRackEvidence = 0.01
 )
 
 // rackOf returns the health of a rack, nil for no rack. It is created on first use.
@@ -101,7 +103,7 @@
 	}
 	if e.rack != nil {
 		e.rack.members--
-		c.leavesSilent(e.rack, e.info.ID)
+		c.forgetSilence(e.rack, e.info.ID)
 	}
 	e.rack = r
 	if r != nil {
@@ -109,9 +111,9 @@
 	}
 }
 
-// goesSilent counts an executor that does not respond, and closes its rack if others have gone silent at the same time. One whose
+// recordSilence counts an executor that does not respond, and closes its rack if others have gone silent at the same time. One whose
 // process has ended, or whose machine is about to leave, tells nothing about the rack.
-func (c *Core) goesSilent(now time.Duration, e *executor) {
+func (c *Core) recordSilence(now time.Duration, e *executor) {
 	if e.refused || e.cordoned || e.info.Draining || !e.registered {
 		return
 	}
@@ -134,9 +136,9 @@
 	}
 }
 
-// answers notes that an executor responded to a request that was sent at a time. If it is one of those that went silent, or if the
+// recordAnswer notes that an executor responded to a request that was sent at a time. If it is one of those that went silent, or if the
 // request was sent after its rack became dark, the rack is not dark.
-func (c *Core) answers(e *executor, sentAt time.Duration) {
+func (c *Core) recordAnswer(e *executor, sentAt time.Duration) {
 	r := e.rack
 	if r == nil || len(r.silent) == 0 {
 		return
@@ -148,8 +150,8 @@
 	}
 }
 
-// leavesSilent notes that an executor has ended or left its rack. The rack is not dark if none of those that went silent is left.
-func (c *Core) leavesSilent(r *rackHealth, id string) {
+// forgetSilence notes that an executor has ended or left its rack. The rack is not dark if none of those that went silent is left.
+func (c *Core) forgetSilence(r *rackHealth, id string) {
 	delete(r.silent, id)
 	if len(r.silent) == 0 {
 		c.openRack(r)
@@ -214,8 +216,10 @@
 // updateSlow sets which executors are slow.
 func (c *Core) updateSlow(now time.Duration) {
 	threshold := math.Log(slowRatio)
-	for _, r := range c.racks {
-		r.slowdown.decay(now)
+	for name, r := range c.racks {
+		if r.slowdown.decay(now); r.members == 0 && r.slowdown.weight < minRackEvidence {
+			delete(c.racks, name)
+		}
 	}
 	for _, e := range c.executors {
 		e.slowdown.decay(now)
@@ -242,11 +246,14 @@
 	// that it counts as.
 	initialFarRatio = 2.0
 	farPriorWeight  = 10.0
+	// maxFarRatio bounds ratios seen and the one learned. A stalled owner sees starts late, and so run times that are far too short.
+	maxFarRatio = 8.0
 )
 
 // add adds the ratio of a run. Only the first run of a step counts, because the expectation of later ones includes runs elsewhere.
 func (l *locality) add(ratio float64, near, first bool) {
 	const keep = 1 - 1.0/runtimeMemory
+	ratio = min(max(ratio, 1/maxFarRatio), maxFarRatio)
 	switch {
 	case !first:
 	case near:
@@ -260,7 +267,7 @@
 func (l *locality) ratio() float64 {
 	nearMean := l.nearSum / (l.near + farPriorWeight)
 	excess := l.farSum - l.far*nearMean
-	return max(math.Exp((farPriorWeight*math.Log(initialFarRatio)+excess)/(farPriorWeight+l.far)), 1)
+	return min(max(math.Exp((farPriorWeight*math.Log(initialFarRatio)+excess)/(farPriorWeight+l.far)), 1), maxFarRatio)
 }
 
 // waitsForRack reports whether a task, for which there is only room outside of the rack of its data, does better to wait for the next
