--- a/scheduler/certain.go
+++ b/scheduler/certain.go
@@ -6,7 +6,7 @@
 // A step starts once all tasks of the steps before it are known to be done. A report to this owner shows a task as running after its
 // executor has fenced the former owner off, so only this owner learns of its end: the former one has started no step after it. That holds
 // only for the first run of a task in a job that nobody but the former owner can have started. A later run may stand beside the end
-// of an earlier one, which the former owner knew.
+// of an earlier one, which the former owner knew. Gangs are left out: the first end of a member completes all members.
 
 // SetAcceptedInTerm records that an inherited job was accepted in the term of an epoch, so that only the owner of that term can have
 // started it.
@@ -19,7 +19,7 @@
 // recordUnstartedSteps is called when a report to this owner shows a run of an inherited task. It records the steps that no former owner
 // can have started.
 func (t *task) recordUnstartedSteps(run int) {
-	if !t.job.inherited || run != t.job.firstInheritedRun || t.step.spec.LongRunning {
+	if !t.job.inherited || run != t.job.firstInheritedRun || t.step.spec.LongRunning || t.step.spec.Gang {
 		return
 	}
 	steps := t.step.occ.steps
--- a/scheduler/certain_test.go
+++ b/scheduler/certain_test.go
@@ -51,3 +51,24 @@
 		assert.Equal(t, len(h.starts), 1, name)
 	}
 }
+
+// Guards against a second run of a step behind a gang: the first end of a member completes the gang, so the former owner may have started
+// the step although another member still runs.
+func TestStepsAfterAGangOfWhichAMemberMayHaveEndedWait(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.opts.Epoch = 2
+	h.core.AddUnreconciled(h.now, "unreachable", service, nil)
+	gang := batchStep(2, 1000)
+	gang.Gang = true
+	h.inheritJob("j", 1, gang, batchStep(1, 1000, 0))
+	h.core.SetAcceptedInTerm("j", 1)
+	member := taskID("j", 0, 0)
+	h.running["x0"][member] = workload.RunningTask{Task: member, Run: 1}
+	h.report("x0")
+	h.end(member, workload.EndDone)
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 0)
+	h.core.ExpireLeases(h.now, "unreachable")
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 1)
+}
