--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -454,13 +454,17 @@
 	return record.Status
 }
 
-// awaitAll waits until all jobs have a status, and fails the test after limit.
+// awaitAll waits until all jobs have a status, and fails the test after limit. The records of jobs that have been final for the retention
+// are gone by then, so the failure names the jobs that never had the status.
 func (c *cluster) awaitAll(ids []string, status workload.Status, limit time.Duration) {
 	c.t.Helper()
+	seen := make(map[string]bool)
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		left := 0
 		for _, id := range ids {
-			if c.status(id) != status {
+			if c.status(id) == status {
+				seen[id] = true
+			} else {
 				left++
 			}
 		}
@@ -468,8 +472,17 @@
 			return
 		}
 	}
+	var missing, lost []string
 	for _, id := range ids {
-		assert.Equal(c.t, c.status(id), status, id)
+		switch now := c.status(id); {
+		case !seen[id]:
+			missing = append(missing, fmt.Sprintf("%s is %s", id, now))
+		case now != status:
+			lost = append(lost, fmt.Sprintf("%s is %s", id, now))
+		}
+	}
+	if len(missing)+len(lost) > 0 {
+		c.t.Fatalf("never %s: %v; no longer %s: %v", status, missing, status, lost)
 	}
 }
 
