--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -147,8 +147,15 @@
 	return lease, err
 }
 
-// observe records the rows of a successful read that covers all changes up to sent.
+// observe records the rows of a successful read that covers all changes up to sent. It logs without the lock, since a log that stalls
+// must not block calls such as OwnsJobs and Holder.
 func (m *Manager) observe(sent time.Duration, rows []rowstore.Row) {
+	var changes []func()
+	defer func() {
+		for _, logChange := range changes {
+			logChange()
+		}
+	}()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.opts.Now()
@@ -164,33 +171,40 @@
 	for _, r := range rows {
 		switch r.Key {
 		case LeaseKey:
-			m.recordLease(r, now)
+			changes = append(changes, m.recordLease(r, now))
 		case FenceKey:
 			m.fenceVersion = max(m.fenceVersion, r.Version)
 		}
 	}
 }
 
-// recordLease records a newer lease row; the caller holds the lock.
-func (m *Manager) recordLease(r rowstore.Row, now time.Duration) {
+// recordLease records a newer lease row. The caller holds the lock, and calls the returned function to log the change after it has
+// released the lock.
+func (m *Manager) recordLease(r rowstore.Row, now time.Duration) (logChange func()) {
 	if r.Version <= m.leaseVersion {
-		return
+		return func() {}
 	}
 	var l Lease
-	if err := json.Unmarshal(r.Value, &l); err != nil {
-		m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
+	err := json.Unmarshal(r.Value, &l)
+	if err != nil {
 		l = Lease{Released: true, Epoch: m.lease.Epoch}
 	}
-	if l.Epoch != m.lease.Epoch || l.Released != m.lease.Released {
-		m.opts.Log.WithFields(log.Fields{
-			"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
-		}).Info("owner changed")
-	}
+	ownerChanged := l.Epoch != m.lease.Epoch || l.Released != m.lease.Released
 	if l.Epoch != m.lease.Epoch || m.leaseVersion == 0 || l.Holder == "" {
 		m.epochSeenAt = now
 	}
 	m.lease, m.leaseVersion, m.changedAt, m.renewalSeenAt = l, r.Version, now, now
 	m.inGrace, m.silentProbes = false, 0
+	return func() {
+		if err != nil {
+			m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
+		}
+		if ownerChanged {
+			m.opts.Log.WithFields(log.Fields{
+				"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
+			}).Info("owner changed")
+		}
+	}
 }
 
 // probe asks the owner's address whether the owner's process still runs, if the lease was not renewed in time. A refused
@@ -237,17 +251,24 @@
 // off: the lease expires silentMargin after its end, and a grace after a gap between reads is over. The owner's last renewal is no
 // longer valid then, as the gap was longer than that.
 func (m *Manager) recordSilentProbe(probed Lease) {
+	if m.countSilentProbe(probed) {
+		m.opts.Log.WithFields(log.Fields{"owner": probed.Holder, "epoch": probed.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
+	}
+}
+
+// countSilentProbe implements recordSilentProbe and reports whether it has ended a grace.
+func (m *Manager) countSilentProbe(probed Lease) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
-		return
+		return false
 	}
 	if m.silentProbes++; m.silentProbes < maxSilentProbes || !m.inGrace {
-		return
+		return false
 	}
 	m.inGrace = false
 	m.changedAt = min(m.changedAt, m.opts.Now()-m.lease.validFor()-takeoverMargin)
-	m.opts.Log.WithFields(log.Fields{"owner": m.lease.Holder, "epoch": m.lease.Epoch}).Info("owner does not answer after an outage of the store, its lease has expired")
+	return true
 }
 
 // recordProbeAnswer is called when the owner answers a probe. In a grace it has the whole of it to renew its lease.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -657,3 +657,26 @@
 		assert.Assert(t, g.owners()[0] != first)
 	})
 }
+
+// Guards against a log that stalls and thereby blocks the calls of other goroutines, such as OwnsJobs and Holder.
+func TestObservationsAreLoggedWithoutTheLock(t *testing.T) {
+	var m *Manager
+	var logged []string
+	now := time.Minute
+	m = New(Options{Holder: "a/1", Now: func() time.Duration { return now }, Log: &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+		assert.Assert(t, m.mu.TryLock(), "%q is logged with the lock held", e.Message)
+		m.mu.Unlock()
+		logged = append(logged, e.Message)
+		return nil
+	})}})
+	value, err := json.Marshal(Lease{Holder: "b/1", Epoch: 1})
+	assert.NilError(t, err)
+	m.observe(now, []rowstore.Row{{Key: LeaseKey, Value: value, Version: 1}})
+	now += time.Minute
+	m.observe(now, nil)
+	for range maxSilentProbes {
+		m.recordSilentProbe(m.lease)
+	}
+	m.observe(now, []rowstore.Row{{Key: LeaseKey, Value: []byte("{"), Version: 2}})
+	assert.Equal(t, len(logged), 4, "%q", logged)
+}
