--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -295,24 +295,29 @@
 	return rows.None
 }
 
-// crash ends an executor and starts a new incarnation within 3 s, unless it is down already.
+// crash ends an executor and starts a new incarnation within 3 s, unless it is down already. The fleet is called without the lock, because
+// it calls orderFault with its own lock held.
 func (f *randomFaults) crash(c *cluster, id string) {
 	pause := time.Duration(f.intN(3000)) * time.Millisecond
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.crashed[id] {
+	if f.setCrashed(id, true) {
 		return
 	}
-	f.crashed[id] = true
 	c.fleet.Crash(id)
 	time.AfterFunc(pause, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.crashed[id] = false
 		c.fleet.Add(id, capacity)
+		f.setCrashed(id, false)
 	})
 }
 
+// setCrashed notes whether an executor is down and returns whether it was before.
+func (f *randomFaults) setCrashed(id string, crashed bool) (before bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before = f.crashed[id]
+	f.crashed[id] = crashed
+	return before
+}
+
 // runWithRandomFaults runs jobs while orders and the store have faults, and executors crash or become unreachable.
 func runWithRandomFaults(t *testing.T, seed uint64, c *cluster) {
 	t.Helper()
