--- a/ownership/resign.go
+++ b/ownership/resign.go
@@ -91,7 +91,8 @@
 	switch {
 	case err == nil || errors.Is(err, rowstore.ErrConflict):
 		m.failed = failedRenewals{}
-	case errors.Is(err, rowstore.ErrUnavailable):
+	case errors.Is(err, rowstore.ErrUnavailable) && m.failed.since != 0:
+		// Without since, a hedged attempt of the same renewal has succeeded meanwhile.
 		m.failed.refused++
 	}
 	return written, err
--- a/ownership/resign_test.go
+++ b/ownership/resign_test.go
@@ -1,12 +1,14 @@
 package ownership
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
 )
 
@@ -112,3 +114,32 @@
 		assert.Equal(t, len(g.owners()), 1)
 	})
 }
+
+// hedgedStore refuses a commit after a second one, which is made meanwhile, has succeeded.
+type hedgedStore struct {
+	Store
+	hedge func()
+}
+
+func (s *hedgedStore) Commit(context.Context, rowstore.Txn) (uint64, error) {
+	if hedge := s.hedge; hedge != nil {
+		s.hedge = nil
+		hedge()
+		return 0, rowstore.ErrUnavailable
+	}
+	return 1, nil
+}
+
+// Guards against an owner that resigns after a single refused attempt, because one that was refused after the renewal had succeeded counts
+// for the next renewal.
+func TestAttemptsRefusedAfterASuccessDoNotCount(t *testing.T) {
+	store := &hedgedStore{}
+	m := New(Options{Store: store, Now: func() time.Duration { return time.Minute }})
+	store.hedge = func() {
+		_, err := m.attemptRenewal(t.Context(), Lease{}, 1)
+		assert.NilError(t, err)
+	}
+	_, err := m.attemptRenewal(t.Context(), Lease{}, 1)
+	assert.ErrorIs(t, err, rowstore.ErrUnavailable)
+	assert.Equal(t, m.failed, failedRenewals{})
+}
