--- a/ownership/observe.go
+++ b/ownership/observe.go
@@ -147,13 +147,13 @@
 	return lease, err
 }
 
-// observe records the rows of a successful read that covers all changes up to sent.
+// observe records the rows of a successful read that covers all changes up to sent. It logs without the lock, since a log that stalls
+// must not block calls such as OwnsJobs and Holder.
 func (m *Manager) observe(sent time.Duration, rows []rowstore.Row) {
-	var logs []func()
-	// The log is written without the lock: a process that stalls while it writes must not hold up the checks of the ownership.
+	var changes []func()
 	defer func() {
-		for _, write := range logs {
-			write()
+		for _, logChange := range changes {
+			logChange()
 		}
 	}()
 	m.mu.Lock()
@@ -171,35 +171,40 @@
 	for _, r := range rows {
 		switch r.Key {
 		case LeaseKey:
-			logs = append(logs, m.recordLease(r, now)...)
+			changes = append(changes, m.recordLease(r, now))
 		case FenceKey:
 			m.fenceVersion = max(m.fenceVersion, r.Version)
 		}
 	}
 }
 
-// recordLease records a newer lease row, and returns what to log without the lock, which the caller holds.
-func (m *Manager) recordLease(r rowstore.Row, now time.Duration) (logs []func()) {
+// recordLease records a newer lease row. The caller holds the lock, and calls the returned function to log the change after it has
+// released the lock.
+func (m *Manager) recordLease(r rowstore.Row, now time.Duration) (logChange func()) {
 	if r.Version <= m.leaseVersion {
-		return nil
+		return func() {}
 	}
 	var l Lease
-	if err := json.Unmarshal(r.Value, &l); err != nil {
-		logs = append(logs, func() {
-			m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
-		})
+	err := json.Unmarshal(r.Value, &l)
+	if err != nil {
 		l = Lease{Released: true, Epoch: m.lease.Epoch}
 	}
-	if l.Epoch != m.lease.Epoch || l.Released != m.lease.Released {
-		fields := log.Fields{"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version}
-		logs = append(logs, func() { m.opts.Log.WithFields(fields).Info("owner changed") })
-	}
+	ownerChanged := l.Epoch != m.lease.Epoch || l.Released != m.lease.Released
 	if l.Epoch != m.lease.Epoch || m.leaseVersion == 0 || l.Holder == "" {
 		m.epochSeenAt = now
 	}
 	m.lease, m.leaseVersion, m.changedAt, m.renewalSeenAt = l, r.Version, now, now
 	m.inGrace, m.silentProbes = false, 0
-	return logs
+	return func() {
+		if err != nil {
+			m.opts.Log.WithError(err).Error("cannot decode the lease row, treating the lease as free")
+		}
+		if ownerChanged {
+			m.opts.Log.WithFields(log.Fields{
+				"owner": l.Holder, "epoch": l.Epoch, "released": l.Released, "version": r.Version,
+			}).Info("owner changed")
+		}
+	}
 }
 
 // probe asks the owner's address whether the owner's process still runs, if the lease was not renewed in time. A refused
@@ -251,8 +256,8 @@
 	}
 }
 
-// countSilentProbe does what recordSilentProbe says and reports whether it has ended a grace.
-func (m *Manager) countSilentProbe(probed Lease) (graceEnded bool) {
+// countSilentProbe implements recordSilentProbe and reports whether it has ended a grace.
+func (m *Manager) countSilentProbe(probed Lease) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lease.Holder != probed.Holder || m.lease.Renewal != probed.Renewal {
