--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -20,8 +20,9 @@
 // load reads the tables that owners write and those that other processes write. It retries until it succeeds or the term
 // ends.
 func (l *leadership) load() error {
+	tables := l.followTables()
 	for {
-		err := l.tryLoad()
+		err := l.tryLoad(tables)
 		if err == nil {
 			return nil
 		}
@@ -50,8 +51,8 @@
 	return t, group.Wait()
 }
 
-// tryLoad makes one attempt to load the state.
-func (l *leadership) tryLoad() error {
+// tryLoad makes one attempt to load the state. followed yields the first batches of the tables that other processes write.
+func (l *leadership) tryLoad(followed []<-chan feed.Batch) error {
 	tables, err := l.readOwnerTables()
 	if err != nil {
 		return err
@@ -78,7 +79,7 @@
 		l.loadControl(r)
 		l.rows.recordVersion(r)
 	}
-	return l.loadTables()
+	return l.loadTables(followed)
 }
 
 // loadControl loads a row of controlTable. If the orders of the former owner cannot be decoded, any machine may just have
@@ -128,16 +129,23 @@
 	return first
 }
 
-// loadTables applies the tables that other processes write, completely and before any decision is made. Then it resumes
-// the executors with stored records: only they can run tasks for an earlier owner.
-func (l *leadership) loadTables() error {
-	inherited := maps.Clone(l.executorRecords)
+// followTables starts the feeds of the tables that other processes write, beside the reads of the tables of owners: a slow store takes
+// half a second for either. No former owner deletes a record any more, so a job whose row is read has the record that it had.
+// The order is that in which the tables are applied: jobs need the configuration, and cancellations must be known before the jobs are
+// added.
+func (l *leadership) followTables() []<-chan feed.Batch {
 	d := l.opts.Directory
-	// The order matters: jobs need the configuration, and cancellations must be known before the jobs are added.
-	for _, first := range []<-chan feed.Batch{
+	return []<-chan feed.Batch{
 		l.followTable(d.OperatorTable(), nil), l.followTable(frontend.CancelTable, frontend.SubmitPartitions()),
 		l.followTable(frontend.JobTable, frontend.SubmitPartitions()), l.followTable(d.ExecutorTable(), nil),
-	} {
+	}
+}
+
+// loadTables applies the tables that other processes write, completely and before any decision is made. Then it resumes
+// the executors with stored records: only they can run tasks for an earlier owner.
+func (l *leadership) loadTables(followed []<-chan feed.Batch) error {
+	inherited := maps.Clone(l.executorRecords)
+	for _, first := range followed {
 		select {
 		case b := <-first:
 			l.applyBatch(b, true)
