--- a/node/node.go
+++ b/node/node.go
@@ -45,8 +45,6 @@
 	// maxConfigAgeShare is the share of the time in which a configuration has to be in force during which one is trusted without
 	// being confirmed again.
 	maxConfigAgeShare = 0.9
-	// maxHeaderBytes bounds the header of a request. It equals the bound in the operators' configurations.
-	maxHeaderBytes = 16 << 10
 	// readHeaderTimeout and callerIdleTimeout equal the bounds in the operators' configurations.
 	readHeaderTimeout = 3 * time.Second
 	// readTimeout bounds the whole request, header and body, so that a slow sender cannot hold a connection indefinitely.
@@ -96,7 +94,7 @@
 		{"internal", daemon.HTTPOptions{Address: s.InternalListen, Handler: n.internalHandler()}},
 		{"admin", daemon.HTTPOptions{Address: s.AdminListen, Handler: adminHandler(t)}},
 		{"callers", daemon.HTTPOptions{
-			Address: s.CallerListen, Handler: n.callerHandler(), MaxHeaderBytes: maxHeaderBytes,
+			Address: s.CallerListen, Handler: n.callerHandler(), MaxHeaderBytes: platform.MaxHeaderBytes,
 			ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: callerIdleTimeout,
 		}},
 		{"ready", daemon.HTTPOptions{Address: s.ReadyListen, Handler: n.readyHandler()}},
