--- a/operator/cli/cli.go
+++ b/operator/cli/cli.go
@@ -1,5 +1,6 @@
 // Package cli implements the command tamarack, with which operators read the state of a fleet and submit change tickets
-// through the operator API of the entry hosts. The subcommand waits needs no server and reports on the logs of processes.
+// through the operator API of the entry hosts. The subcommands waits and interference, which report on the logs of processes, and check,
+// which checks a configuration, need no server.
 package cli
 
 import (
@@ -28,6 +29,14 @@
 	ExitUnknown = 3
 )
 
+// Exit codes of the subcommand check. ExitOK means that it has no findings, and ExitInput that an input is unreadable.
+const (
+	// ExitFindings means that the configuration has errors.
+	ExitFindings = 1
+	// ExitWarnings means that the configuration has warnings and no errors.
+	ExitWarnings = 3
+)
+
 // args are the arguments of the command. Nil subcommands were not given.
 type args struct {
 	Apply        *applyCmd        `arg:"subcommand:apply" help:"submit declarations as one change ticket"`
@@ -40,6 +49,7 @@
 	Explain      *explainCmd      `arg:"subcommand:explain" help:"why a request was rejected, a host gets no work, or a job waits"`
 	Waits        *waitsCmd        `arg:"subcommand:waits" help:"what late and failed jobs waited for and what machines did, from logs"`
 	Interference *interferenceCmd `arg:"subcommand:interference" help:"which images disturb which serving images, from logs"`
+	Check        *checkCmd        `arg:"subcommand:check" help:"faults of a configuration of tamarack-node, and what differs from the one in effect"`
 
 	Server    []string      `arg:"--server,separate,env:TAMARACK_SERVER" placeholder:"URL" help:"operator API of an entry host; repeat it to name several, which are tried in order"`
 	TokenFile string        `arg:"--token-file,env:TAMARACK_TOKEN_FILE" placeholder:"FILE" help:"file with the bearer token"`
@@ -107,7 +117,8 @@
 
 func (args) Description() string {
 	return "Controls a fleet through the operator API of its entry hosts.\n" +
-		"Exit codes: 0 done, 1 rejected, 2 wrong input, 3 the result of a ticket is unknown."
+		"Exit codes: 0 done, 1 rejected, 2 wrong input, 3 the result of a ticket is unknown.\n" +
+		"Exit codes of check: 0 no findings, 1 errors, 2 wrong usage or unreadable input, 3 only warnings."
 }
 
 // Options configure Run. The zero value uses the process's standard streams.
@@ -165,7 +176,10 @@
 	fmt.Fprintln(opts.Stderr, "tamarack:", err)
 	var input inputError
 	var unknown unknownError
+	var findings findingsError
 	switch {
+	case errors.As(err, &findings):
+		return findings.exitCode()
 	case errors.As(err, &unknown):
 		return ExitUnknown
 	case errors.As(err, &input) || isInvalidArgument(err):
@@ -196,6 +210,9 @@
 	if c.args.Interference != nil {
 		return c.interference(c.args.Interference)
 	}
+	if c.args.Check != nil {
+		return c.check(c.args.Check)
+	}
 	if c.client, err = newClient(c.args); err != nil {
 		return inputError{err}
 	}
