--- a/operator/cli/check_test.go
+++ b/operator/cli/check_test.go
@@ -22,7 +22,7 @@
 	assert.NilError(t, os.WriteFile(empty, nil, 0o600))
 	next := strings.Replace(string(example), `"Version": 12`, `"Version": 13`, 1)
 	for _, c := range []struct {
-		stdin, stdout string
+		stdin, output string
 		want          int
 		argv          []string
 	}{
@@ -30,15 +30,15 @@
 		{string(example), "version-not-higher", ExitFindings, []string{"-", "--against", current}},
 		{strings.Replace(next, `"Weight": 10`, `"Weight": 0`, 1), "unbounded-share", ExitWarnings, []string{"-"}},
 		{"no JSON", "", ExitInput, []string{"-"}},
-		{next, "", ExitInput, []string{"-", "--against", "-"}},
-		{next, "", ExitInput, []string{"-", "--against", empty}},
+		{next, "only one configuration", ExitInput, []string{"-", "--against", "-"}},
+		{next, "configuration in effect", ExitInput, []string{"-", "--against", empty}},
 		{next, "", ExitInput, []string{current + ".absent"}},
 		{next, "", ExitInput, nil},
 	} {
 		var stdout, stderr bytes.Buffer
 		code := Run(t.Context(), append([]string{"check"}, c.argv...), Options{Stdin: strings.NewReader(c.stdin), Stdout: &stdout, Stderr: &stderr})
 		assert.Equal(t, code, c.want, "%v: %s%s", c.argv, &stdout, &stderr)
-		assert.Assert(t, cmp.Contains(stdout.String(), c.stdout))
+		assert.Assert(t, cmp.Contains(stdout.String()+stderr.String(), c.output))
 		assert.Equal(t, code == ExitOK, stderr.Len() == 0)
 	}
 	var stdout bytes.Buffer
--- a/operator/configcheck/check_test.go
+++ b/operator/configcheck/check_test.go
@@ -33,6 +33,7 @@
 		{index, `"Prefix": "/index", "Service": "index"`, "warning bad-prefix route/index Prefix"},
 		{index, `"Prefix": "/render/", "Service": "index"`, "error hidden-route route/index "},
 		{`"jobs.example.org", ` + index, `"Jobs.example.org", "Prefix": "/render/", "Service": "index"`, "error hidden-route route/index "},
+		{`"jobs.example.org", ` + index, `"other.example.org", "Prefix": "/render/", "Service": "index"`, ""},
 		{`"jobs.example.org", ` + index, `"jobs.example.org:80", ` + index, "error host-with-port route/index Host"},
 		{`"MaxAttempts": 1`, `"MaxAttempts": -1`, "error out-of-range route/health MaxAttempts"},
 		{`"ValidMs": 2000`, `"ValidMs": 1e300`, "error out-of-range route/index Recommendation.ValidMs"},
@@ -60,6 +61,13 @@
 	}
 }
 
+// Guards against a wrong line, and against a part of the input in the message about a value of a wrong type.
+func TestMessageOfAWrongType(t *testing.T) {
+	r, err := Check([]byte("{\n\"Routes\": [{\n\"Priority\": 71.5}]}"), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Findings[0].Message, "line 3: Routes.Priority is a JSON number, not a value for int")
+}
+
 // Guards against changes that are left out or shown for entries that only moved, and against keys in the output.
 func TestChanges(t *testing.T) {
 	const former = `{"Version":3,"Routes":[{"Name":"a","Host":"h","Prefix":"/a/","Service":"s"},{"Name":"b","Host":"h","Prefix":"/b/","Service":"s"}],
