--- a/internal/proofs/outcomes_test.go
+++ b/internal/proofs/outcomes_test.go
@@ -177,7 +177,10 @@
 	for _, target := range []int{0, 5, 0} {
 		tf.killTarget(tf.Targets[target])
 		tf.sleep(300 * time.Millisecond)
-		tf.must(tf.Targets[target].Start())
+		restarted := tf.Targets[target]
+		tf.must(restarted.Start())
+		// A process that starts may listen later than the next step of the test uses its control address.
+		tf.waitFor("restart of "+restarted.Host, func() error { return restarted.SetFaults(targetserver.Faults{}) })
 		tf.sleep(200 * time.Millisecond)
 	}
 	tf.checkOutcomes(wait())
