--- a/operator/configcheck/check.go
+++ b/operator/configcheck/check.go
@@ -341,7 +341,7 @@
 	}
 	organisations := *c.doc.Organisations
 	if len(organisations) == 0 {
-		c.warnf(CodeNoOrganisations, entry{kind: KindDocument}, "Tenants", "the list is empty: only public routes can be called")
+		c.warnf(CodeNoOrganisations, entry{kind: KindDocument}, platform.ConfigOrganisationsField, "the list is empty: only public routes can be called")
 	}
 	weighted := slices.ContainsFunc(organisations, func(o platform.ConfigOrganisation) bool { return o.Weight > 0 })
 	// The last organisation with a key gets its requests.
--- a/operator/configcheck/check_test.go
+++ b/operator/configcheck/check_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
+
+	"github.com/tamarackworks/tamarackworks/platform"
 )
 
 // Guards against findings in a correct configuration, and against faults that are not found or found under another code. Each case
@@ -43,7 +45,7 @@
 		{`"example-key-3"`, `"example-key-3", " example-key-4"`, "error unusable-key organisation/archive ApiKeys"},
 		{`"example-key-3"`, `"example-key-3", "example-key-1"`, "error shared-key organisation/press ApiKeys"},
 		{`"example-key-1", "example-key-2"`, `"example-key-3"`, "error shared-key organisation/press ApiKeys\nerror no-own-key organisation/press ApiKeys"},
-		{`"example-key-3"`, `7`, "error wrong-type configuration/ Tenants.ApiKeys"},
+		{`"example-key-3"`, `7`, "error wrong-type configuration/ " + platform.ConfigOrganisationsField + ".ApiKeys"},
 		{`"Weight": 10`, `"Weight": 0`, "warning unbounded-share organisation/archive Weight"},
 		{`"Weight": 10`, `"Weight": 0.5`, "warning share-too-small organisation/archive Weight"},
 		{`"Cpu": 16000`, `"Cpu": -1`, "error out-of-range organisation/archive Cap.Cpu"},
@@ -71,10 +73,10 @@
 // Guards against changes that are left out or shown for entries that only moved, and against keys in the output.
 func TestChanges(t *testing.T) {
 	const former = `{"Version":3,"Routes":[{"Name":"a","Host":"h","Prefix":"/a/","Service":"s"},{"Name":"b","Host":"h","Prefix":"/b/","Service":"s"}],
-		"Services":[{"Name":"s"}],"Tenants":[{"Name":"o","ApiKeys":["secret1","secret2"],"Weight":2},{"Name":"p","ApiKeys":["secret5"]}]}`
+		"Services":[{"Name":"s"}],"` + platform.ConfigOrganisationsField + `":[{"Name":"o","ApiKeys":["secret1","secret2"],"Weight":2},{"Name":"p","ApiKeys":["secret5"]}]}`
 	const next = `{"Version":4,"Routes":[{"Name":"c","Host":"h","Prefix":"/c/","Service":"s"},{"Name":"a","Host":"h","Prefix":"/a/","Service":"s","Priority":1,
 		"Recommendation":{"ValidMs":5}}],"Services":[{"Name":"s","Standby":true}],"Limits":{"MaxBodyBytes":9},
-		"Tenants":[{"Name":"o","ApiKeys":["secret2","secret3","secret4"],"Weight":3},{"Name":"o\u001b[2J","ApiKeys":["secret3"],"Weight":3}]}`
+		"` + platform.ConfigOrganisationsField + `":[{"Name":"o","ApiKeys":["secret2","secret3","secret4"],"Weight":3},{"Name":"o\u001b[2J","ApiKeys":["secret3"],"Weight":3}]}`
 	r, err := Check([]byte(next), []byte(former))
 	assert.NilError(t, err)
 	var text, encoded bytes.Buffer
@@ -116,8 +118,8 @@
 // FuzzCheck guards against panics, against errors of another type, and against keys in the output, also in that of inputs that are not
 // valid.
 func FuzzCheck(f *testing.F) {
-	f.Add([]byte(`{"Version":1,"Routes":[null,{"Prefix":"a"}],"Tenants":[{"ApiKeys":["a","","b"]}],"Limits":null}`), []byte(`{"Routes":[{"Name":"x","Recommendation":{}}]}`), "k")
-	f.Add([]byte(`{"Tenants":[{"Name":7}]}`), []byte(`null`), "k\n")
+	f.Add([]byte(`{"Version":1,"Routes":[null,{"Prefix":"a"}],"`+platform.ConfigOrganisationsField+`":[{"ApiKeys":["a","","b"]}],"Limits":null}`), []byte(`{"Routes":[{"Name":"x","Recommendation":{}}]}`), "k")
+	f.Add([]byte(`{"`+platform.ConfigOrganisationsField+`":[{"Name":7}]}`), []byte(`null`), "k\n")
 	f.Add([]byte(`[`), []byte(``), `"`)
 	f.Fuzz(func(t *testing.T, candidate, inEffect []byte, part string) {
 		key := "unlikely-secret" + part
