Log the responses of the advice service

The log says neither which executors a step asks about nor what is permitted, so it cannot tell four hypotheses apart: the same executors are asked about again; permits arrive but the pass does not use them; permits expire before a start; starts are refused. Change: a line "permits received" for each response.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -330,6 +332,10 @@
 			if err != nil || !ok {
 				l.log.WithFields(log.Fields{"step": w.Step, "queue_full": err == nil}).Warn("no permits from the advice service")
 				elapsed.Sleep(l.ctx, permitRetryDelay)
+			} else {
+				l.log.WithFields(log.Fields{
+					"step": w.Step, "executors": w.Executors, "permitted": slices.Sorted(maps.Keys(permits)), "valid_ms": valid.Milliseconds(),
+				}).Info("permits received")
 			}
 			l.emit(permitResponse{w.Step, permits, valid})
 		}()
