Do not reject a size for all tasks because one has no permit

Cause: a pass notes the size of a task for which it found no executor, so that tasks as large are not tried again. A task that found none for want of a permit counted as without further constraints. Ruled out: room and cordons; the log shows idle executors that accept tasks, and no refused start. Change: a task that needs a permit notes no size. Why it works: what is noted is now only said of executors with respect to size and label.

--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// withPermits makes permits of the advice service necessary for a second queue, "restricted", of the service.
+func (h *harness) withPermits(p workload.PermitPolicy) {
+	h.core.Configure(h.now, &workload.Configuration{
+		Version: 2, Services: []workload.Service{{Name: service, ChecksCapacity: true}}, Routes: []workload.Route{
+			{Name: "queue", Service: service, Policy: workload.Policy{MaxAttempts: 2, SlackFactor: 2, Objective: 500}},
+			{Name: "restricted", Service: service, Policy: workload.Policy{MaxAttempts: 2, SlackFactor: 2, Objective: 500, Permits: &p}},
+		},
+	})
+}
+
+// addRestrictedJob adds a job of the queue "restricted" without scheduling it.
+func (h *harness) addRestrictedJob(id string, steps ...workload.Step) {
+	err := h.core.AddJob(h.now, &workload.Job{ID: id, Route: "restricted", Service: service, ConfigVersion: 2, Steps: steps}, nil, 0, false)
+	assert.NilError(h.t, err)
+}
+
+// Guards against tasks of a queue without permits that stay off idle executors, because a task of their size that ranks before them has
+// no permit.
+func TestTasksWithoutPermitsDoNotBlockOthersOfTheirSize(t *testing.T) {
+	h := newHarness(t, 3)
+	h.withPermits(workload.PermitPolicy{Validity: 3000})
+	h.addRestrictedJob("lasting", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 500}, LongRunning: true})
+	h.addRestrictedJob("finite", batchStep(1, 500))
+	h.runCommands()
+	h.submit("j", batchStep(2, 500))
+	assert.Equal(t, len(h.starts), 2)
+	for _, s := range h.starts {
+		assert.Equal(t, s.Task.Job, "j")
+	}
+}
+
 // Guards against more tasks of a step on one executor than MaxPerExecutor allows, and against a start on an executor without
 // the required label.
 func TestSpreadAndLabels(t *testing.T) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -303,7 +303,7 @@
 func (p *placement) chooseExecutor(t *task, size workload.Resources, rack string) *executor {
 	spec := t.step.spec
 	sh := shape{size, spec.Label}
-	unconstrained := t.avoidUntil == nil && spec.MaxPerExecutor == 0 && rack == "" && !t.suspect()
+	unconstrained := t.avoidUntil == nil && spec.MaxPerExecutor == 0 && rack == "" && !t.suspect() && !p.core.needsPermit(t)
 	if unconstrained && p.isRejected(sh) {
 		return nil
 	}
