Ask the advice service about all executors

Cause: a request named the first twelve executors with room, and the next one, after the answer had expired, the same twelve. What the service said about a sample was taken for what it says about the pool. Change: answers are kept for each executor. A pass notes the executors on which a task would fit but for an unknown permit; the next request, at once, names the most suitable of these. A denial lasts as long as the incarnation of the executor ("which doesn't change", PROTOCOL.md), a permit until it expires. Why it works: an executor with room is denied, permitted or asked about; none is left out, and none is asked about twice without cause. Waits for permits have a cause of their own, "permit".

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -165,7 +165,6 @@
 			l.dropGoneExecutors()
 			l.planMachines(now)
 			l.publishClosures(now)
-			l.requestPermits(now)
 			l.purge(now)
 			l.opts.Metrics.observeCore(now, l.core, len(l.events), l.lag.Value())
 		}
@@ -286,6 +285,7 @@
 		l.core.Schedule(now, l.opts.ArrivalLimit())
 		l.opts.Metrics.passes.Inc()
 		l.nextPassAt = now + minPassInterval
+		l.requestPermits(now)
 	}
 }
 
@@ -312,7 +312,7 @@
 	}
 }
 
-// permitResponse is the event that the advice service responded, or that the call failed, which leaves permits empty.
+// permitResponse is the event that the advice service responded, or that the call failed, which leaves permits nil.
 type permitResponse struct {
 	step    workload.StepID
 	permits map[string]string
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -83,8 +83,10 @@
 	racks    map[string]*rackHealth
 	locality locality
 
-	// permitsRequested holds the steps with a PermitRequest that has no response yet.
-	permitsRequested map[workload.StepID]bool
+	// permitsWanted holds, for steps that wait for permits, the executors to ask about and the penalty of each, until PermitRequests.
+	// permitsRequested holds the steps with a PermitRequest that has no response yet, and the incarnations of its executors.
+	permitsWanted    map[*step]map[*executor]float64
+	permitsRequested map[workload.StepID]map[string]int64
 	interference     *interferenceState
 }
 
@@ -95,10 +97,11 @@
 		jobs: make(map[string]*job), executors: make(map[string]*executor), members: make(map[string][]*executor),
 		unreconciled: make(map[string]unreconciled), pendingCancels: make(map[string]bool),
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
-		cordonedFits: make(map[string]cordonedFit), permitsRequested: make(map[workload.StepID]bool), waitClocks: make(map[string]*waitClock),
+		cordonedFits: make(map[string]cordonedFit), waitClocks: make(map[string]*waitClock),
 		organisations: make(map[string]*organisation), runtimeModels: make(map[string]*runtimeModel),
 		ordersByUrgency: fitsInTime, overloads: make(map[closureKey]overload), racks: make(map[string]*rackHealth),
-		interference: &interferenceState{model: interference.New()},
+		interference:  &interferenceState{model: interference.New()},
+		permitsWanted: make(map[*step]map[*executor]float64), permitsRequested: make(map[workload.StepID]map[string]int64),
 	}
 }
 
@@ -270,6 +273,7 @@
 	delete(c.activeJobs[j.service], j)
 	for _, o := range j.occs {
 		for _, s := range o.steps {
+			delete(c.permitsWanted, s)
 			for _, t := range s.tasks {
 				if t.placed() {
 					c.stopTask(now, t, "job is "+string(status))
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -120,6 +120,7 @@
 	if t.reportedRun == run {
 		outcome = StartUnclear
 	}
+	notBefore := now
 	switch outcome {
 	case StartAccepted, StartUnclear:
 		t.job.slowestStart = max(t.job.slowestStart, now-t.orderedAt)
@@ -136,13 +137,14 @@
 	case StartRefused:
 		e.backoffUntil = now + refusedBackoff
 	case StartNoPermit:
-		t.step.permits = nil
+		t.step.dropPermit(id)
+		notBefore = now + permitRetryDelay
 	}
 	c.addDecision(tid.String(), "start refused", map[string]any{
 		"executor": id, "run": run, "reason": reason, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
 	})
 	c.requeue(now, t, lossStartRefused)
-	t.notBefore = max(t.notBefore, now)
+	t.notBefore = max(t.notBefore, notBefore)
 }
 
 // Stopped handles the outcome of a stop order: the executor accepted it, or all leases on the executor have expired. The run is
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -181,9 +181,12 @@
 	if e == nil {
 		return 0
 	}
-	return max(e.info.BornUnixMS, e.incarnation)
+	return e.latestIncarnation()
 }
 
+// latestIncarnation returns the latest known BornUnixMS of the executor; 0 if unknown.
+func (e *executor) latestIncarnation() int64 { return max(e.info.BornUnixMS, e.incarnation) }
+
 // Reconnect records that the session with an executor was replaced. The outcomes of start orders that are open are not
 // reported any more, so their tasks count as running until the next report shows whether they do.
 func (c *Core) Reconnect(now time.Duration, id string) {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -158,6 +158,8 @@
 	rackEnds map[string][]time.Duration
 	// stepCPU holds the results of step.meanCPUAtFullPace in this pass.
 	stepCPU map[*step]float64
+	// unpermitted is set once a task that needs a permit found no executor.
+	unpermitted bool
 	// waited is set once a task waits for room in the rack of its data.
 	waited bool
 	// allFull is set once no candidate has room for any ready task that is left.
@@ -231,6 +233,10 @@
 		racks = append(p.racks(), "")
 	}
 	for _, rack := range racks {
+		if rack == "" && len(racks) > 1 && p.core.awaitsPermits(s) {
+			// A rack of which not all executors were asked about may have room.
+			return
+		}
 		chosen := p.chooseForGang(s, rack)
 		if chosen == nil {
 			continue
@@ -309,6 +315,7 @@
 	}
 	var best *executor
 	var bestPenalty float64
+	var unpermitted []*executor
 	apart := p.newSeparation(t)
 	for _, e := range p.candidates {
 		if !e.free().Fits(size) || (spec.Label != "" && !e.info.HasLabel(spec.Label)) || (rack != "" && e.info.Rack != rack) {
@@ -323,8 +330,13 @@
 		if t.suspect() && (!e.settled(p.now) || t.step.perExecutor[e] > 0 && spec.Gang) {
 			continue
 		}
-		if p.core.needsPermit(t) && !t.step.permits.allows(e.info.ID, p.now) {
-			continue
+		if p.core.needsPermit(t) {
+			if state := t.step.permits.state(e, p.now); state != permitValid {
+				if state == permitUnknown {
+					unpermitted = append(unpermitted, e)
+				}
+				continue
+			}
 		}
 		penalty := p.penalty(t, e)
 		penalty += apart.penalty(e, penalty)
@@ -333,6 +345,12 @@
 		}
 	}
 	apart.record(best)
+	p.unpermitted = p.unpermitted || best == nil && p.core.needsPermit(t)
+	if best == nil && len(unpermitted) > 0 && p.core.permitsRequested[t.step.id()] == nil {
+		for _, e := range unpermitted {
+			p.core.wantPermit(t.step, e, p.penalty(t, e))
+		}
+	}
 	if best == nil && unconstrained {
 		p.rejected = append(p.rejected, sh)
 	}
@@ -426,7 +444,7 @@
 	t.job.started = true
 	permit := ""
 	if c.needsPermit(t) {
-		permit = t.step.permits.permit(e.info.ID)
+		permit = t.step.permits.answers[e.info.ID].permit
 	}
 	c.commands = append(c.commands, StartTask{
 		Executor: e.info.ID, Task: t.id, Run: run, Payload: t.job.spec.Payload, Checkpoint: t.checkpoint, Permit: permit,
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -152,13 +152,18 @@
 	predictedBy  int
 	// unstarted is set if no former owner can have started a task of the step of an inherited job.
 	unstarted bool
-	// permits is nil until the advice service has responded, and after an executor rejected a permit.
+	// permits is nil until the advice service has responded.
 	permits *permits
 	// doneOn is the first executor on which one of its tasks was done, doneOnSeveral is set if another one followed.
 	doneOn        string
 	doneOnSeveral bool
 }
 
+// id returns the ID of the step.
+func (s *step) id() workload.StepID {
+	return workload.StepID{Job: s.occ.job.spec.ID, Occurrence: s.occ.number, Step: s.index}
+}
+
 // ready reports whether all steps that the step depends on are done.
 func (s *step) ready() bool {
 	for _, earlier := range s.spec.After {
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -17,12 +17,14 @@
 	WaitRoom WaitCause = "room"
 	// WaitQuota means that there is room, but that an organisation has reached its cap.
 	WaitQuota WaitCause = "quota"
+	// WaitPermit means that there is room, but no permit of the advice service to use it.
+	WaitPermit WaitCause = "permit"
 	// WaitOther covers tasks that may not start on the executors with room, and the time until the next pass.
 	WaitOther WaitCause = "other"
 )
 
 // waitCauses holds all causes; waitTimes has the same order.
-var waitCauses = [...]WaitCause{WaitUnreconciled, WaitContact, WaitMachine, WaitRoom, WaitQuota, WaitOther}
+var waitCauses = [...]WaitCause{WaitUnreconciled, WaitContact, WaitMachine, WaitRoom, WaitQuota, WaitPermit, WaitOther}
 
 // WaitCauses returns all causes.
 func WaitCauses() []WaitCause { return waitCauses[:] }
@@ -127,6 +129,8 @@
 		return WaitContact
 	case len(p.rejected) == 0 && !p.allFull && p.capped:
 		return WaitQuota
+	case len(p.rejected) == 0 && !p.allFull && p.unpermitted:
+		return WaitPermit
 	case len(p.rejected) == 0 && !p.allFull:
 		return WaitOther
 	case c.incomingMachines[service] > 0:
--- a/scheduler/waits_test.go
+++ b/scheduler/waits_test.go
@@ -27,7 +27,7 @@
 		advance(0)
 		return h.now - began
 	}
-	want := map[WaitCause]time.Duration{WaitUnreconciled: 0, WaitQuota: 0, WaitOther: 0}
+	want := map[WaitCause]time.Duration{WaitUnreconciled: 0, WaitQuota: 0, WaitPermit: 0, WaitOther: 0}
 	h.submit("a", step)
 	want[WaitContact] = timeUntil(func() { h.addExecutor("x", size) })
 	h.submit("b", step)
