Conclude from absence only if a list of ended runs is complete

Cause: an executor lists at most 500 ends, and none is acknowledged while the store is away. A run that ended beyond them is neither running nor listed, which Core.Report took for gone. Ruled out: expired leases (no contact was lost), restarts and a takeover, by the lines "run is gone without an end", which now give last_end and durable_end: 500 apart in all 909 lines, on four executors. A hold for further ends does not ask the executor to wait. Stand-in executors list as few ends as a test asks for. Why it works: a run that no report shows stays placed until a list that cannot lack its end shows that it is gone; the list is complete once what it shows is acknowledged.

--- a/coordinator/continuation_test.go
+++ b/coordinator/continuation_test.go
@@ -41,6 +41,40 @@
 	})
 }
 
+// Guards against tasks that run twice after an outage of the store: no end is acknowledged meanwhile, so that executors have more ended
+// runs than they list at a time, and those beyond the list seem to be gone. The owner is the same after it, or another one.
+func TestTasksThatEndBeyondTheListDuringAnOutageRunOnce(t *testing.T) {
+	for name, takeover := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newCluster(t, 3, 3)
+				c.fleet.SetMaxListedEnds(5)
+				c.fleet.SetDuration(func(workload.TaskID) (time.Duration, workload.End) { return 300 * time.Millisecond, workload.EndDone })
+				time.Sleep(5 * time.Second)
+				c.submit("job", plainStep(90))
+				time.Sleep(100 * time.Millisecond)
+				owner := c.ownerHost()
+				for _, h := range c.hosts {
+					h.handle.SetFault(func(bool) rows.Fault { return rows.Refuse })
+				}
+				time.Sleep(4 * time.Second)
+				if takeover {
+					c.kill(owner)
+				}
+				for _, h := range c.hosts {
+					if h != owner || !takeover {
+						h.handle.SetFault(nil)
+					}
+				}
+				c.awaitAll([]string{"job"}, workload.StatusCompleted, 20*time.Second)
+				starts, _ := c.fleet.Counts()
+				assert.Equal(t, starts, 90, "no task started twice")
+				c.checkViolations()
+			})
+		})
+	}
+}
+
 // Guards against duplicate runs while a former owner continues after another host has taken over. It must start no job that
 // arrived after the takeover, and no task on an executor that lost the new owner's fencing token by a restart. Tasks that it
 // has started must not run elsewhere.
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -209,6 +209,19 @@
 	}
 }
 
+// Guards against the same failures where executors list few of their ended runs at a time.
+func TestJobsWithCutListsUnderRandomFaults(t *testing.T) {
+	for seed := uint64(1); seed <= faultSeeds(t); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				c := newCluster(t, 3, 5)
+				c.fleet.SetMaxListedEnds(2)
+				runWithRandomFaults(t, seed, c)
+			})
+		})
+	}
+}
+
 // Guards against the same failures as TestJobsUnderRandomFaults where late orders reach the next incarnation of an executor.
 // KNOWN-RED.txt lists what it finds.
 func TestOrdersAcrossRestartsUnderRandomFaults(t *testing.T) {
--- a/scheduler/evacuate.go
+++ b/scheduler/evacuate.go
@@ -33,6 +33,9 @@
 
 // stalled reports whether a running task has made no progress for too long.
 func (t *task) stalled() bool {
+	if t.unlisted {
+		return false
+	}
 	// Progress is only known up to the last report.
 	idle := t.exec.reportedAt - t.progressChangedAt
 	if t.step.spec.LongRunning {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -99,7 +99,7 @@
 		return
 	}
 	t.setState(taskPending)
-	t.percent, t.pace = 0, 100
+	t.percent, t.pace, t.unlisted = 0, 100, false
 	t.waitsForRackSince = 0
 	t.requeues++
 	t.job.retries++
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -211,6 +211,7 @@
 	}
 	c.markReconciled(id)
 	c.setUnwantedRuns(now, e, 0)
+	c.setMoreEnds(now, e, false)
 	c.recordCrashOfSilent(now, e)
 	for t := range e.tasks {
 		if t.state == taskStarting {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -52,9 +52,13 @@
 		if ok && run == t.run {
 			continue
 		}
-		if t.absent(sentAt, restarted) {
+		if !t.absent(sentAt, restarted) {
+			continue
+		}
+		if t.unlisted = r.MoreEnds; !t.unlisted {
 			fields := map[string]any{
 				"executor": id, "run": t.run, "requested_ms_ago": (now - sentAt).Milliseconds(), "restarted": restarted,
+				"last_end": lastEnd, "durable_end": e.durableEnd,
 			}
 			if t.respondedAt != never {
 				fields["responded_ms_ago"] = (now - t.respondedAt).Milliseconds()
@@ -70,7 +74,10 @@
 	if e.lastEnd > e.ackedEnd {
 		c.acksPending = true
 	}
-	c.markReconciled(id)
+	c.setMoreEnds(now, e, r.MoreEnds)
+	if !r.MoreEnds {
+		c.markReconciled(id)
+	}
 	c.observeInterference(now, e, r)
 	c.adjustPace(now, e)
 }
@@ -97,7 +104,25 @@
 	}
 }
 
-// absent reports whether a report that was requested at sentAt and does not show the run proves that the run is gone. It proves
+// setMoreEnds records whether the executor may have ended runs that its last report did not list.
+func (c *Core) setMoreEnds(now time.Duration, e *executor, more bool) {
+	if e.moreEnds == more {
+		return
+	}
+	e.moreEnds = more
+	message := "list of ended runs is incomplete"
+	if !more {
+		message = "list of ended runs is complete again"
+		c.dirtyServices[e.info.Service] = true
+		if len(e.tasks) == 0 {
+			e.idleSince = now
+		}
+	}
+	c.addDecision(e.info.ID, message, map[string]any{"tasks": len(e.tasks), "last_end": e.lastEnd, "durable_end": e.durableEnd})
+}
+
+// absent reports whether a report that was requested at sentAt and does not show the run proves that the run is gone, if the report lists all
+// ended runs. It proves
 // nothing while the outcome of the start is unknown, because the start may still be carried out, or if the last order was
 // answered after the request, because the report may not reflect it. While a stop has no answer, it is a proof only after a
 // restart of the executor, and only if the run was confirmed before the request.
@@ -120,7 +145,7 @@
 		c.stopUnwanted(now, e, x.Task, x.Run, "no job needs it")
 		return false
 	case t.exec == e && t.run == x.Run:
-		t.reportedRun = x.Run
+		t.reportedRun, t.unlisted = x.Run, false
 		if t.state == taskStarting {
 			t.setState(taskRunning)
 			t.startedAt, t.progressChangedAt, t.respondedAt = now, now, now
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -46,6 +46,8 @@
 	run int
 	// reportedRun is the last run that a report showed on the executor where this owner started it.
 	reportedRun int
+	// unlisted is set if the last report showed the current run neither as running nor as ended, and may not have listed all ended runs.
+	unlisted bool
 	// endedRun is the highest run that is known to have ended or to be gone.
 	endedRun int
 	// failedRuns holds each failed run once.
@@ -130,7 +132,7 @@
 
 // serving reports whether a long-running task is known to serve its users.
 func (t *task) serving() bool {
-	return t.state == taskRunning && t.percent >= 100 && t.exec.inContact && t.inheritedStopDeadline == 0
+	return t.state == taskRunning && t.percent >= 100 && t.exec.inContact && t.inheritedStopDeadline == 0 && !t.unlisted
 }
 
 // step is a set of equal tasks of one occurrence of a job.
@@ -302,6 +304,8 @@
 	lastEnd    int64
 	ackedEnd   int64
 	durableEnd int64
+	// moreEnds is set if the last report may not have listed all ended runs.
+	moreEnds bool
 	// idleSince is when the executor last became empty, or when it became known.
 	idleSince time.Duration
 	// unwantedRuns is the number of runs in the last report that no task of this owner needs. Until they are gone the executor is not idle
@@ -323,8 +327,15 @@
 	sampledAt time.Duration
 }
 
-// runs returns the number of tasks on the executor and of runs there that no task needs.
-func (e *executor) runs() int { return len(e.tasks) + e.unwantedRuns }
+// runs returns the number of tasks on the executor and of runs there that no task needs. It is at least 1 while ended runs may not be listed:
+// what they did is lost if the machine is taken away.
+func (e *executor) runs() int {
+	n := len(e.tasks) + e.unwantedRuns
+	if e.moreEnds {
+		return max(n, 1)
+	}
+	return n
+}
 
 // setUnwantedRuns sets the number of runs that no task needs.
 func (c *Core) setUnwantedRuns(now time.Duration, e *executor, n int) {
--- a/session/hold.go
+++ b/session/hold.go
@@ -62,7 +62,7 @@
 		// Without contact no deadline is sent, so that the leases can expire. Nothing is acknowledged, because the executor may
 		// be a new incarnation, which numbers its ended runs anew.
 		wait, ackedEnd = 0, 0
-	} else if s.ackedEnd < s.lastEnd {
+	} else if s.ackedEnd < s.lastEnd || s.moreEnds {
 		wait = 0
 	}
 	s.mu.Unlock()
@@ -166,7 +166,7 @@
 	if restarted || sent >= s.unnoticedRestartAt {
 		s.unnoticedRestartAt = 0
 	}
-	r.Ended = s.takeNewEnds(r.Ended)
+	r.Ended, s.moreEnds = s.takeNewEnds(r.Ended), r.MoreEnds
 	lastEnd := s.lastEnd
 	known := make(map[runKey]bool, len(r.Running))
 	for _, x := range r.Running {
--- a/session/session.go
+++ b/session/session.go
@@ -123,6 +123,8 @@
 	// of the current incarnation.
 	ackedEnd int64
 	lastEnd  int64
+	// moreEnds is set if the last report may not have listed all ended runs.
+	moreEnds bool
 	holdWait time.Duration
 	// inContact is set by a report and cleared by loseContact. Holds extend the leases only while it is set.
 	inContact bool
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -736,3 +736,45 @@
 		assert.Assert(t, h.count(session.LeasesExpired{}) > 0)
 	})
 }
+
+// holdRecorder records the waits of holds, each with whether the report before it may have left out ended runs.
+type holdRecorder struct {
+	session.Client
+	mu    sync.Mutex
+	more  bool
+	waits map[bool][]time.Duration
+}
+
+func (r *holdRecorder) Hold(ctx context.Context, to session.Endpoint, o session.HoldOrder) (workload.Report, session.Result, error) {
+	r.mu.Lock()
+	r.waits[r.more] = append(r.waits[r.more], o.Wait)
+	r.mu.Unlock()
+	report, result, err := r.Client.Hold(ctx, to, o)
+	r.mu.Lock()
+	r.more = report.MoreEnds
+	r.mu.Unlock()
+	return report, result, err
+}
+
+// Guards against ended runs beyond a list that are learnt of late: the hold for the next ones asks the executor to wait for an end.
+func TestHoldsForFurtherEndsDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &holdRecorder{waits: make(map[bool][]time.Duration)}
+		h := newHarnessWithClient(t, func(f *workers.Fleet) session.Client {
+			r.Client = f
+			return r
+		})
+		h.fleet.SetMaxListedEnds(2)
+		for n := range 4 {
+			h.session.Start(session.StartOrder{Task: workload.TaskID{Job: "j", Index: n}, Run: 1})
+		}
+		time.Sleep(3 * time.Second)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		assert.Assert(t, len(r.waits[true]) > 0, "waits: %v", r.waits)
+		for _, wait := range r.waits[true] {
+			assert.Equal(t, wait, time.Duration(0))
+		}
+		assert.Assert(t, slices.Max(r.waits[false]) > 0)
+	})
+}
--- a/standin/workers/workers.go
+++ b/standin/workers/workers.go
@@ -32,6 +32,8 @@
 	// size is the capacity that each task takes from its executor.
 	size     workload.Resources
 	stopTime time.Duration
+	// maxListedEnds is the number of ended runs that a report lists at most; 0 is no limit.
+	maxListedEnds int
 	// fault returns the fault of an order; nil means no faults.
 	fault func(executor, order string) Fault
 
@@ -141,6 +143,13 @@
 	f.duration = duration
 }
 
+// SetMaxListedEnds sets how many ended runs a report lists at most; 0 is no limit.
+func (f *Fleet) SetMaxListedEnds(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.maxListedEnds = n
+}
+
 // SetStopTime sets how long a task runs on after a stop order.
 func (f *Fleet) SetStopTime(d time.Duration) {
 	f.mu.Lock()
@@ -538,7 +547,12 @@
 		return workload.Report{}, "", session.ErrNoResponse
 	}
 	defer f.mu.Unlock()
-	r := workload.Report{ClockMS: f.clockOf(e), BornUnixMS: e.bornUnixMS, Ended: append([]workload.EndedTask(nil), e.endedTasks...)}
+	r := workload.Report{ClockMS: f.clockOf(e), BornUnixMS: e.bornUnixMS}
+	listed := e.endedTasks
+	if f.maxListedEnds > 0 && len(listed) >= f.maxListedEnds {
+		listed, r.MoreEnds = listed[:f.maxListedEnds], true
+	}
+	r.Ended = append(r.Ended, listed...)
 	for task, x := range e.runs {
 		r.Running = append(r.Running, workload.RunningTask{Task: task, Run: x.number, Percent: f.percent(task, x)})
 	}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -283,6 +283,9 @@
 	BornUnixMS int64
 	Running    []RunningTask
 	Ended      []EndedTask
+	// MoreEnds is set if further runs may have ended that Ended does not list. A run that is neither in Running nor in Ended may then
+	// have ended in any way; otherwise it is gone.
+	MoreEnds bool
 }
 
 // Machine is a worker machine; at most one executor runs on it.
