Do not reject the size of a gang's members for other tasks

Cause: a gang attaches its members while it chooses executors. The size that found no room beside them was noted as one for which no executor has room, and tasks as large were not tried any more in the pass. Ruled out: members that stay attached, moves of idle machines and the order of jobs: with only the note taken out all jobs start. Change: gangs note no size. The room for the members is counted before they are placed, so that a large gang costs a pass one look at each executor. A gang without room waits for "room" in logs and metrics. Why it works: what is noted now holds without reservations of the attempt itself, and of executors instead of the task.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -146,8 +146,11 @@
 	unreportedUse workload.Resources
 	// capped is set once a task does not fit under the cap of its organisation.
 	capped bool
-	// rejected holds shapes for which no candidate was found in this pass.
+	// rejected holds shapes for which no candidate was found in this pass. Gangs add none, because what they lack room for depends on
+	// their own members, which are not placed in the end.
 	rejected []shape
+	// gangWaits is set once there is no room for a gang.
+	gangWaits bool
 	// skipsYielding is set once candidates leaves out the executors that yield.
 	skipsYielding bool
 	// cordonedFit is a cordoned executor that could take a long-running task of this pass that was not placed; nil if there is none.
@@ -272,6 +275,10 @@
 // chooseForGang returns an executor for each task of a gang, or nil if one has none. It attaches the tasks while it chooses, so
 // that the next one finds their resources reserved, and detaches them in the end. An empty rack means any.
 func (p *placement) chooseForGang(s *step, rack string) []*executor {
+	if !p.hasSlots(s, rack) {
+		p.gangWaits = true
+		return nil
+	}
 	var chosen []*executor
 	for _, t := range s.tasks {
 		var e *executor
@@ -293,6 +300,29 @@
 	return chosen
 }
 
+// hasSlots reports whether the candidates have room for all tasks of a gang, by size, label and rack alone.
+func (p *placement) hasSlots(s *step, rack string) bool {
+	slots := 0
+	for _, e := range p.candidates {
+		if (s.spec.Label == "" || e.info.HasLabel(s.spec.Label)) && (rack == "" || e.info.Rack == rack) {
+			slots += s.slots(e, e.free())
+		}
+		if slots >= len(s.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// slots returns how many tasks of the step that are not placed fit into free resources of an executor.
+func (s *step) slots(e *executor, free workload.Resources) int {
+	n := free.Times(s.spec.Reserved(), len(s.tasks))
+	if s.spec.MaxPerExecutor > 0 {
+		n = max(min(n, s.spec.MaxPerExecutor-s.perExecutor[e]), 0)
+	}
+	return n
+}
+
 // underCap reports whether a task fits under the cap of its organisation.
 func (p *placement) underCap(t *task) bool {
 	if t.job.organisation.fitsCap(t.step.spec.Reserved(), p.unreportedUse) {
@@ -351,7 +381,7 @@
 			p.core.wantPermit(t.step, e, p.penalty(t, e))
 		}
 	}
-	if best == nil && unconstrained {
+	if best == nil && unconstrained && !spec.Gang {
 		p.rejected = append(p.rejected, sh)
 	}
 	return best
--- a/scheduler/waits.go
+++ b/scheduler/waits.go
@@ -118,6 +118,9 @@
 	return false
 }
 
+// lacksRoom reports whether the pass found no executor with room for a task or a gang.
+func (p *placement) lacksRoom() bool { return len(p.rejected) > 0 || p.allFull || p.gangWaits }
+
 // waitCause returns why ready tasks still wait after a pass.
 func (c *Core) waitCause(p *placement, service string, reconciled bool) WaitCause {
 	switch {
@@ -127,11 +130,11 @@
 		return WaitRoom
 	case len(p.candidates) == 0:
 		return WaitContact
-	case len(p.rejected) == 0 && !p.allFull && p.capped:
+	case !p.lacksRoom() && p.capped:
 		return WaitQuota
-	case len(p.rejected) == 0 && !p.allFull && p.unpermitted:
+	case !p.lacksRoom() && p.unpermitted:
 		return WaitPermit
-	case len(p.rejected) == 0 && !p.allFull:
+	case !p.lacksRoom():
 		return WaitOther
 	case c.incomingMachines[service] > 0:
 		return WaitMachine
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -47,6 +47,17 @@
 	return o.CPUMilli <= r.CPUMilli && o.MemoryMB <= r.MemoryMB && o.GPUs <= r.GPUs
 }
 
+// Times returns how many times o fits into r, at most limit.
+func (r Resources) Times(o Resources, limit int) int {
+	n := limit
+	for _, x := range [...]struct{ have, need int }{{r.CPUMilli, o.CPUMilli}, {r.MemoryMB, o.MemoryMB}, {r.GPUs, o.GPUs}} {
+		if x.need > 0 {
+			n = min(n, x.have/x.need)
+		}
+	}
+	return max(n, 0)
+}
+
 // Step is a set of identical tasks of a job.
 type Step struct {
 	// Count is the number of tasks.
