Keep executors for a gang that the pool can hold

Cause: a gang needs room for all members at one moment, and nothing keeps any for it. Change: for the gang without room that ranks first, the executors that hold it first once their finite tasks have ended are reserved during the pass. Tasks that rank after it use them if they are expected to end before the gang has room. Why it works: no further task delays the end of those that run there, so the gang waits for their run times at most. A gang that the pool cannot hold, or that something else keeps from starting, reserves nothing.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -66,8 +66,10 @@
 // jobQueue yields jobs by rank. It is a heap because mostly only the first few are placed, and the rest need not be sorted.
 type jobQueue struct {
 	jobs []waitingJob
-	// minSize is, for each resource, the least that any ready task of the jobs needs.
-	minSize workload.Resources
+	// minSize is, for each resource, the least that any ready task of the jobs needs, minRuntime the shortest run time that one is expected
+	// to have.
+	minSize    workload.Resources
+	minRuntime time.Duration
 }
 
 func (q *jobQueue) Len() int           { return len(q.jobs) }
@@ -108,9 +110,9 @@
 			continue
 		}
 		if len(q.jobs) == 0 {
-			q.minSize = expected.minSize
+			q.minSize, q.minRuntime = expected.minSize, expected.minRuntime
 		}
-		q.minSize = q.minSize.Min(expected.minSize)
+		q.minSize, q.minRuntime = q.minSize.Min(expected.minSize), min(q.minRuntime, expected.minRuntime)
 		j.beginWait(c.waitClock(service))
 		q.jobs = append(q.jobs, waitingJob{j, rankOf(now, j), settled})
 	}
@@ -192,9 +194,11 @@
 type expectation struct {
 	// model is the version of the model of run times; 0 means that the expectation is out of date.
 	model int
-	// ready is set if the job has ready tasks, minSize is the least that any of them needs of each resource.
-	ready   bool
-	minSize workload.Resources
+	// ready is set if the job has ready tasks, minSize is the least that any of them needs of each resource, minRuntime their shortest
+	// expected run time.
+	ready      bool
+	minSize    workload.Resources
+	minRuntime time.Duration
 	// work is the expected work of pending tasks, in thousandths of a core times milliseconds.
 	work int64
 	// longest is the expected time along the longest chain of steps that are not done.
@@ -216,15 +220,16 @@
 	for _, o := range j.occs {
 		for _, s := range o.steps {
 			x.longRunning = x.longRunning || s.spec.LongRunning
-			x.work += int64(s.pending) * int64(s.spec.Size.CPUMilli) * s.runtime().Milliseconds()
+			runtime := s.runtime()
+			x.work += int64(s.pending) * int64(s.spec.Size.CPUMilli) * runtime.Milliseconds()
 			if !s.hasReadyTasks() {
 				continue
 			}
 			size := s.spec.Reserved()
 			if !x.ready {
-				x.ready, x.minSize = true, size
+				x.ready, x.minSize, x.minRuntime = true, size, runtime
 			}
-			x.minSize = x.minSize.Min(size)
+			x.minSize, x.minRuntime = x.minSize.Min(size), min(x.minRuntime, runtime)
 		}
 		remaining, total := o.criticalPaths()
 		x.longest, x.objective = max(x.longest, remaining), max(x.objective, objective(j.policy, total))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -63,7 +63,7 @@
 func (p *placement) placeJobs(queue *jobQueue) {
 	for len(queue.jobs) > 0 {
 		j := queue.next()
-		if j.class != classLongRunning && p.noRoomFor(queue.minSize) {
+		if j.class != classLongRunning && p.noRoomFor(queue.minSize, queue.minRuntime) {
 			p.allFull = true
 			return
 		}
@@ -84,10 +84,10 @@
 	}
 }
 
-// noRoomFor reports whether no candidate has room for a size.
-func (p *placement) noRoomFor(size workload.Resources) bool {
+// noRoomFor reports whether no candidate has room for a finite task of a size and an expected run time.
+func (p *placement) noRoomFor(size workload.Resources, runtime time.Duration) bool {
 	for _, e := range p.candidates {
-		if e.free().Fits(size) {
+		if e.free().Fits(size) && !p.reserved.keeps(e, p.now+runtime) {
 			return false
 		}
 	}
@@ -149,8 +149,9 @@
 	// rejected holds shapes for which no candidate was found in this pass. Gangs add none, because what they lack room for depends on
 	// their own members, which are not placed in the end.
 	rejected []shape
-	// gangWaits is set once there is no room for a gang.
+	// gangWaits is set once there is no room for a gang. reserved is nil until executors are kept for one.
 	gangWaits bool
+	reserved  *reservation
 	// skipsYielding is set once candidates leaves out the executors that yield.
 	skipsYielding bool
 	// cordonedFit is a cordoned executor that could take a long-running task of this pass that was not placed; nil if there is none.
@@ -173,6 +174,8 @@
 type shape struct {
 	size  workload.Resources
 	label string
+	// limited is set if the task may not use the executors that are reserved for a gang.
+	limited bool
 }
 
 // placeStep starts the ready tasks of a step for which there is room.
@@ -223,106 +226,6 @@
 	p.cordonedFit = p.cordoned.chooseExecutor(t, t.step.spec.Reserved(), "")
 }
 
-// placeGang starts all tasks of a gang or none, all with the same run number and checkpoint. A gang that asks for one rack is
-// spread over racks only if none has room for it.
-func (p *placement) placeGang(s *step) {
-	for _, t := range s.tasks {
-		if t.state != taskPending || p.now < t.notBefore || (t.job.inherited && p.core.mayRunElsewhere(t.id)) {
-			return
-		}
-	}
-	racks := []string{""}
-	if s.spec.OneRack {
-		racks = append(p.racks(), "")
-	}
-	for _, rack := range racks {
-		if rack == "" && len(racks) > 1 && p.core.awaitsPermits(s) {
-			// A rack of which not all executors were asked about may have room.
-			return
-		}
-		chosen := p.chooseForGang(s, rack)
-		if chosen == nil {
-			continue
-		}
-		run, checkpoint := 0, ""
-		for _, t := range s.tasks {
-			run = max(run, t.nextRun(p.core))
-			if t.checkpoint != "" {
-				checkpoint = t.checkpoint
-			}
-		}
-		for i, t := range s.tasks {
-			t.checkpoint = checkpoint
-			p.core.startTask(p.now, t, chosen[i], run)
-		}
-		return
-	}
-}
-
-// racks returns the racks of the candidates.
-func (p *placement) racks() []string {
-	seen := make(map[string]bool)
-	var racks []string
-	for _, e := range p.candidates {
-		if !seen[e.info.Rack] {
-			seen[e.info.Rack] = true
-			racks = append(racks, e.info.Rack)
-		}
-	}
-	return racks
-}
-
-// chooseForGang returns an executor for each task of a gang, or nil if one has none. It attaches the tasks while it chooses, so
-// that the next one finds their resources reserved, and detaches them in the end. An empty rack means any.
-func (p *placement) chooseForGang(s *step, rack string) []*executor {
-	if !p.hasSlots(s, rack) {
-		p.gangWaits = true
-		return nil
-	}
-	var chosen []*executor
-	for _, t := range s.tasks {
-		var e *executor
-		if p.underCap(t) {
-			e = p.chooseExecutor(t, s.spec.Reserved(), rack)
-		}
-		if e == nil {
-			for i, e := range chosen {
-				e.detach(s.tasks[i], e.idleSince)
-			}
-			return nil
-		}
-		chosen = append(chosen, e)
-		e.attach(t)
-	}
-	for i, e := range chosen {
-		e.detach(s.tasks[i], e.idleSince)
-	}
-	return chosen
-}
-
-// hasSlots reports whether the candidates have room for all tasks of a gang, by size, label and rack alone.
-func (p *placement) hasSlots(s *step, rack string) bool {
-	slots := 0
-	for _, e := range p.candidates {
-		if (s.spec.Label == "" || e.info.HasLabel(s.spec.Label)) && (rack == "" || e.info.Rack == rack) {
-			slots += s.slots(e, e.free())
-		}
-		if slots >= len(s.tasks) {
-			return true
-		}
-	}
-	return false
-}
-
-// slots returns how many tasks of the step that are not placed fit into free resources of an executor.
-func (s *step) slots(e *executor, free workload.Resources) int {
-	n := free.Times(s.spec.Reserved(), len(s.tasks))
-	if s.spec.MaxPerExecutor > 0 {
-		n = max(min(n, s.spec.MaxPerExecutor-s.perExecutor[e]), 0)
-	}
-	return n
-}
-
 // underCap reports whether a task fits under the cap of its organisation.
 func (p *placement) underCap(t *task) bool {
 	if t.job.organisation.fitsCap(t.step.spec.Reserved(), p.unreportedUse) {
@@ -338,7 +241,7 @@
 // beyond their objectives. An empty rack means any.
 func (p *placement) chooseExecutor(t *task, size workload.Resources, rack string) *executor {
 	spec := t.step.spec
-	sh := shape{size, spec.Label}
+	sh := shape{size, spec.Label, p.reserved.excludes(p.now, t)}
 	unconstrained := t.avoidUntil == nil && spec.MaxPerExecutor == 0 && rack == "" && !t.suspect() && !p.core.needsPermit(t)
 	if unconstrained && p.isRejected(sh) {
 		return nil
@@ -351,6 +254,9 @@
 		if !e.free().Fits(size) || (spec.Label != "" && !e.info.HasLabel(spec.Label)) || (rack != "" && e.info.Rack != rack) {
 			continue
 		}
+		if sh.limited && p.reserved.executors[e] {
+			continue
+		}
 		if spec.MaxPerExecutor > 0 && t.step.perExecutor[e] >= spec.MaxPerExecutor {
 			continue
 		}
@@ -387,10 +293,10 @@
 	return best
 }
 
-// isRejected reports whether a shape is at least as large as one that was rejected in this pass.
+// isRejected reports whether a shape is at least as large as one that was rejected in this pass with as many executors to choose from.
 func (p *placement) isRejected(sh shape) bool {
 	for _, r := range p.rejected {
-		if r.label == sh.label && sh.size.CPUMilli >= r.size.CPUMilli && sh.size.MemoryMB >= r.size.MemoryMB && sh.size.GPUs >= r.size.GPUs {
+		if r.label == sh.label && (sh.limited || !r.limited) && sh.size.CPUMilli >= r.size.CPUMilli && sh.size.MemoryMB >= r.size.MemoryMB && sh.size.GPUs >= r.size.GPUs {
 			return true
 		}
 	}
