--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -167,6 +167,8 @@
 	machines  *testMachines
 	// machineService is what the hosts call; it is machines unless a test replaces it before it starts hosts.
 	machineService Machines
+	// advice is nil unless a test sets it before it starts hosts.
+	advice Advice
 	// stall may block the goroutine that logs or decodes a row; nil never does.
 	stall                                func()
 	machineDelay, stopTimeout, retention time.Duration
@@ -349,7 +351,7 @@
 		return nil
 	}), Level: log.InfoLevel}
 	h.coordinator = New(Options{
-		Store: h.contact, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
+		Store: h.contact, Directory: testDirectory{c.stall}, Executors: hostClient{c.executors, h}, Machines: c.machineService, Advice: c.advice, MachineDelay: c.machineDelay, StopTimeout: c.stopTimeout,
 		Holder: name, Now: c.now, WallMS: func() int64 { return time.Now().UnixMilli() },
 		MaxLease: 6 * time.Second, OwnsJobs: func() bool { return h.manager.OwnsJobs() }, ArrivalLimit: func() time.Duration { return h.manager.ArrivalLimit() },
 		MayContinue: func() bool { return h.manager.MayContinue() }, FirstSubmitted: func(string) (time.Duration, bool) { return 0, false }, Log: logger, Metrics: NewMetrics(prometheus.NewRegistry()),
