Keep executors for gangs whose permits are not known yet

Callers would see: a gang of a queue with permits that starves beside a stream of tasks, as executors without a valid permit are not kept for it. The advice service is asked about an executor only once it has room, and permits expire while a gang waits, so that at no moment enough executors have a valid one. Change: executors that the service has not denied are kept, also while a request is open. Denials are kept, so each one that is reserved without avail is so once. Evidence: TestExecutorsAreKeptForGangsWithUnknownPermits fails with the former condition, and with the former one on open requests. The case "without a permit" of TestNothingIsKeptForGangsThatCannotStart asks first now, as a gang that was never denied may start; it fails if denials are not looked at.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -49,7 +49,7 @@
 	for _, rack := range racks {
 		if rack == "" && len(racks) > 1 && p.core.awaitsPermits(s) {
 			// A rack of which not all executors were asked about may have room.
-			return
+			break
 		}
 		chosen := p.chooseForGang(s, rack)
 		if chosen == nil {
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	if p.reserved == nil && !p.core.awaitsPermits(s) {
+	if p.reserved == nil {
 		p.reserved = p.reservationFor(s)
 	}
 }
@@ -122,12 +122,13 @@
 	return nil
 }
 
-// mayTakeMembers reports whether an executor has the label and the permit that a gang needs.
+// mayTakeMembers reports whether an executor has the label that a gang needs and is not denied to it. The advice service is asked about an
+// executor only once it has room.
 func (p *placement) mayTakeMembers(s *step, e *executor) bool {
 	if s.spec.Label != "" && !e.info.HasLabel(s.spec.Label) {
 		return false
 	}
-	return s.occ.job.policy.Permits == nil || s.permits.state(e, p.now) == permitValid
+	return s.occ.job.policy.Permits == nil || s.permits.state(e, p.now) != permitDenied
 }
 
 // afterFiniteTasks returns what is free on the executor once its finite tasks have ended, and when that is expected. overdue is how long
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -207,10 +207,15 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 2)
 			h.withUrgentQueue()
+			if test.queue == "restricted" {
+				h.addTo(test.queue, test.organisation, "gang", test.gang)
+				h.runCommands()
+				h.adviceService(func(workload.StepID, string) bool { return false }).respond()
+			}
 			h.submit("blocker", batchStep(1, 3000))
-			h.addTo(test.queue, test.organisation, "gang", test.gang)
-			h.runCommands()
-			h.adviceService(func(workload.StepID, string) bool { return false }).respond()
+			if test.queue != "restricted" {
+				h.addTo(test.queue, test.organisation, "gang", test.gang)
+			}
 			h.submit("j", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 4000}, Estimate: 2000})
 			assert.Equal(t, h.core.jobs["j"].placedTasks == 0, test.starts)
 			h.end(taskID("blocker", 0, 0), workload.EndDone)
@@ -219,6 +224,21 @@
 	}
 }
 
+// Guards against a gang with permits that loses each executor to other tasks, because the advice service is asked only once there is room.
+func TestExecutorsAreKeptForGangsWithUnknownPermits(t *testing.T) {
+	h := newHarness(t, 2)
+	h.withUrgentQueue()
+	a := h.adviceService(func(workload.StepID, string) bool { return true })
+	h.submit("blocker", batchStep(1, 3000))
+	h.addTo("restricted", "", "gang", gangStep(2, 3000))
+	h.submit("j", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 4000}, Estimate: 2000})
+	a.respond()
+	h.end(taskID("blocker", 0, 0), workload.EndDone)
+	assert.Equal(t, h.core.jobs["j"].placedTasks, 0, "the service has not responded")
+	a.respond()
+	assert.Equal(t, h.core.jobs["gang"].placedTasks, 2)
+}
+
 // Guards against suspects for which executors are kept: they start one by one, each on an executor of its own.
 func TestNothingIsKeptForSuspects(t *testing.T) {
 	h := newHarness(t, 2)
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -12,7 +12,7 @@
 const (
 	// permitMargin is how long a permit must still be valid when a start is ordered, so that it is when the order arrives.
 	permitMargin = 300 * time.Millisecond
-	// minPermitCandidates and maxPermitCandidates bound the executors in one request; see permitPageSize.
+	// minPermitCandidates and maxPermitCandidates bound the executors in one request; see permitPageSize. The service accepts no more.
 	minPermitCandidates = 12
 	maxPermitCandidates = 100
 	// maxOpenPermitRequests keeps the advice service, which serves one call at a time, busy, without a queue there in which calls time out.
