Record lost executors only once all that they may run is known

Callers would see tasks that run twice after two takeovers: the owner between them hears from an executor whose list of ended runs is cut, then loses contact, and records that it may run only the tasks that this owner knows there. The next owner waits for no others. Cause: found by following markReconciled. Change: recordContactLost leaves the record of an unreconciled executor as it is, which says that it may run any task of its service. Evidence: TestRecordsOfLostExecutorsCoverUnlistedEnds fails before.

--- a/coordinator/lead_test.go
+++ b/coordinator/lead_test.go
@@ -186,6 +186,28 @@
 	})
 }
 
+// Guards against tasks that run twice after two takeovers: the owner between them hears from an executor that does not list all ended runs
+// yet, and records, when contact is lost, that it may run only the tasks which that owner knows there.
+func TestRecordsOfLostExecutorsCoverUnlistedEnds(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		l := newTestLeadership(ctx, func() time.Duration { return time.Second })
+		l.opts.Executors = workers.New()
+		inherited := map[string]executorRecord{"x": {Address: "addr-x", Service: testService, inherited: true}}
+		l.executorRecords["x"] = inherited["x"]
+		l.resumeInherited(inherited)
+		hear := func(report workload.Report) executorRecord {
+			assert.NilError(t, l.handle(session.Reported{Executor: "x", Report: report}))
+			assert.NilError(t, l.handle(session.ContactLost{Executor: "x"}))
+			return l.executorRecords["x"]
+		}
+		assert.Assert(t, !hear(workload.Report{BornUnixMS: 1, MoreEnds: true}).Lost, "a next owner would wait for no task of the executor")
+		assert.Assert(t, hear(workload.Report{BornUnixMS: 1}).Lost)
+		cancel()
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against tasks that count as running for good on an executor that has ended: a report that was queued behind its end is handled.
 func TestQueuedReportsOfEndedExecutorsAreIgnored(t *testing.T) {
 	l := newTestLeadership(t.Context(), func() time.Duration { return time.Second })
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -186,10 +186,10 @@
 }
 
 // recordContactLost stores which tasks an executor without contact may run, so that a new owner holds back only these until
-// the leases on the executor expire.
+// the leases on the executor expire. It stores nothing of one that may run further tasks for an earlier owner.
 func (l *leadership) recordContactLost(now time.Duration, id string) {
 	record, ok := l.executorRecords[id]
-	if !ok || record.Lost || !l.opts.OwnsJobs() {
+	if !ok || record.Lost || !l.opts.OwnsJobs() || !l.core.Reconciled(id) {
 		return
 	}
 	record.Lost, record.Tasks = true, l.core.TasksOn(id)
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -224,6 +224,12 @@
 	c.dirtyServices[e.info.Service] = true
 }
 
+// Reconciled reports whether TasksOn covers all that an executor may run: none of it is unknown for an earlier owner.
+func (c *Core) Reconciled(id string) bool {
+	_, unreconciled := c.unreconciled[id]
+	return !unreconciled
+}
+
 // markReconciled records that an executor runs nothing unknown for an earlier owner any more.
 func (c *Core) markReconciled(id string) {
 	if s, ok := c.unreconciled[id]; ok {
