Do not count executors that are kept for a gang as idle

Callers would see a gang that starts late: the machine of an idle executor that is kept for it is lent to another pool after 0.15 s. Cause: found in reading pools/moves.go. The planner of machines sees idle machines and the work that waits, but not that a gang needs many executors at once. A gang of little work may leave its pool a surplus. Change: Usage.IdleFor is 0 for executors that the last pass has reserved. Why it works: a machine is lent or switched off only after a time of idling. Evidence: TestExecutorsThatAreKeptForAGangDoNotCountAsIdle sees two idle executors before, none now, and all of them once the gang is gone.

--- a/pools/pools.go
+++ b/pools/pools.go
@@ -40,7 +40,7 @@
 	workload.Machine
 	// Tasks is the number of tasks on its executor, LongRunning how many of them are long-running.
 	Tasks, LongRunning int
-	// IdleFor is the time since the executor's last task ended; 0 while it has tasks.
+	// IdleFor is the time since the executor's last task ended; 0 while it has tasks, or is kept for some that start together.
 	IdleFor time.Duration
 	// Cordoned is set while the executor gets no new tasks, Yielding while it gets no late ones.
 	Cordoned, Yielding bool
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -106,7 +106,7 @@
 	Usable, Reachable, Reported bool
 	// Tasks is the number of its tasks and of runs that no task needs, LongRunning the number of long-running tasks.
 	Tasks, LongRunning int
-	// IdleFor is how long it has had no task; 0 if it has one.
+	// IdleFor is how long it has had no task; 0 if it has one, or is kept for a gang.
 	IdleFor            time.Duration
 	Cordoned, Yielding bool
 	// FreeCPU is in thousandths of a core.
@@ -131,7 +131,7 @@
 				u.FiniteCPU += t.step.spec.Reserved().CPUMilli
 			}
 		}
-		if u.Tasks == 0 {
+		if u.Tasks == 0 && !e.keptForGang {
 			u.IdleFor = now - e.idleSince
 		}
 		usages = append(usages, u)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -34,6 +34,13 @@
 	return r != nil && end > r.until && r.executors[e]
 }
 
+// markKept records which executors of a service a pass has reserved, so that their machines do not count as idle.
+func (c *Core) markKept(service string, r *reservation) {
+	for _, e := range c.members[service] {
+		e.keptForGang = r != nil && r.executors[e]
+	}
+}
+
 // placeGang starts all tasks of a gang or none, all with the same run number and checkpoint. A gang that asks for one rack is
 // spread over racks only if none has room for it.
 func (p *placement) placeGang(s *step) {
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -224,6 +224,34 @@
 	}
 }
 
+// Guards against machines that are moved to another pool while their idle executors are kept for a gang.
+func TestExecutorsThatAreKeptForAGangDoNotCountAsIdle(t *testing.T) {
+	h := newHarness(t, 3)
+	h.withRankedQueues()
+	h.submit("blocker", batchStep(1, 3000))
+	h.addUrgentJob("gang", gangStep(3, 3000))
+	h.advance(400 * time.Millisecond)
+	idle := func() (n int) {
+		for _, u := range h.core.Usages(h.now + time.Second) {
+			if u.IdleFor > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, idle(), 0)
+	h.core.Cancel(h.now, "gang")
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, idle(), 2)
+	h.addUrgentJob("gang2", gangStep(3, 3000))
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, idle(), 0)
+	h.core.Cancel(h.now, "gang2")
+	h.end(taskID("blocker", 0, 0), workload.EndDone)
+	h.advance(100 * time.Millisecond)
+	assert.Equal(t, idle(), 3)
+}
+
 // Guards against a gang with permits that loses each executor to other tasks, because the advice service is asked only once there is room.
 func TestExecutorsAreKeptForGangsWithUnknownPermits(t *testing.T) {
 	h := newHarness(t, 2)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -26,6 +26,7 @@
 	c.unplaced[service] = 0
 	if len(c.activeJobs[service]) == 0 {
 		delete(c.cordonedFits, service)
+		c.markKept(service, nil)
 		return
 	}
 	clock := c.waitClock(service)
@@ -33,6 +34,7 @@
 	reconciled := c.serviceReconciled(service)
 	p := &placement{core: c, now: now, candidates: c.acceptingExecutors(now, service), unreportedUse: unreportedUse}
 	p.placeJobs(c.waitingJobs(now, arrivedBy, service, reconciled))
+	c.markKept(service, p.reserved)
 	c.updateCordonedFit(now, service, p.cordonedFit)
 	clock.setCause(c.waitCause(p, service, reconciled))
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -306,6 +306,8 @@
 	durableEnd int64
 	// moreEnds is set if the last report may not have listed all ended runs.
 	moreEnds bool
+	// keptForGang is set if the last pass reserved the executor for a gang.
+	keptForGang bool
 	// idleSince is when the executor last became empty, or when it became known.
 	idleSince time.Duration
 	// unwantedRuns is the number of runs in the last report that no task of this owner needs. Until they are gone the executor is not idle
