Wait for the next leader in TestRandomFaults after a resignation

No request was doubled or answered wrongly. Cause: the fault "leader paused" looked up the host that the lease row names. After a resignation, here that of a host which another fault had stopped, the row names none (leader.Record.Holder). The test pauses a leader where it ended before; no check changes.

--- a/internal/proofs/world_test.go
+++ b/internal/proofs/world_test.go
@@ -393,7 +393,7 @@
 	tf.must(t.Kill())
 }
 
-// leader returns the record of the current leader of a data centre from the store.
+// leader returns the record of the current leader of a data centre from the store. After a resignation it waits for the next leader.
 func (tf *testFleet) leader(dc string) leader.Record {
 	var record leader.Record
 	tf.waitFor("leader of "+dc, func() error {
@@ -401,7 +401,13 @@
 		if err != nil {
 			return err
 		}
-		return json.Unmarshal(row.Value, &record)
+		if err := json.Unmarshal(row.Value, &record); err != nil {
+			return err
+		}
+		if record.Holder == "" {
+			return errors.New("the leader has resigned")
+		}
+		return nil
 	})
 	return record
 }
