Clear suspects only by reports that list their runs

A task that has crashed its executor is a suspect until a run of it outlasts its probation. acquit cleared it at any report after that time, also at the first report of the next incarnation, in which the run has ended with the crash, and at a report whose list of ended runs is incomplete. Behind a cut such a task would crash executor after executor without being counted.

Cause: a conclusion from the passing of time that no report confirms.

Ruled out: that runs which ended are concerned. Their task has left the executor, so acquit clears only the field of the executor, as before.

Change: acquit takes the runs that the report lists and clears a suspect only if its run is among them; the first report of another incarnation clears none. The check of contact is gone, since each caller has just had a report.

Why it works: a run that the same incarnation lists after its probation has outlasted it.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -63,10 +63,11 @@
 	return e.suspect != nil && e.suspect.exec == e && e.suspect.onProbation(now)
 }
 
-// acquit ends the suspicion of a task whose run has outlasted its probation while nothing else was on probation beside it.
-func (c *Core) acquit(now time.Duration, e *executor) {
+// acquit ends the suspicion of a task whose run has outlasted its probation while nothing else was on probation beside it. listed holds the
+// runs that the executor lists in the same incarnation as before; a run that it does not list may have been lost in a crash.
+func (c *Core) acquit(now time.Duration, e *executor, listed map[workload.TaskID]int) {
 	t := e.suspect
-	if t == nil || e.testsSuspect(now) || !e.inContact {
+	if t == nil || e.testsSuspect(now) || t.exec == e && listed[t.id] != t.run {
 		return
 	}
 	e.suspect = nil
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -330,3 +330,28 @@
 	}
 	assert.Equal(t, h.core.jobs["j"].status, workload.StatusQueued)
 }
+
+// Guards against a task that is cleared by the crash of its executor: behind a cut, the owner hears only from the next incarnation.
+func TestOnlyAReportThatListsTheRunClearsASuspect(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", batchStep(1, 1000))
+	h.core.LoseContact(h.now+100*time.Millisecond, "x0", true)
+	h.now += time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 2)
+	crashes := func() int { return h.core.jobs["j"].occs[0].steps[0].tasks[0].crashes.recent }
+	h.core.LoseContact(h.now+100*time.Millisecond, "x0", false)
+	for _, r := range []workload.Report{
+		{BornUnixMS: 3, MoreEnds: true}, {BornUnixMS: 3, MoreEnds: true},
+		{BornUnixMS: 3, MoreEnds: true, Running: []workload.RunningTask{{Task: taskID("j", 0, 0), Run: 1}}},
+	} {
+		h.now += time.Second
+		h.core.Report(h.now, "x0", r, h.now-time.Millisecond, 0)
+		assert.Equal(t, crashes(), 1, "after report %+v", r)
+	}
+	h.now += time.Second
+	listed := workload.Report{BornUnixMS: 3, Running: []workload.RunningTask{{Task: taskID("j", 0, 0), Run: h.starts[1].Run}}}
+	h.core.Report(h.now, "x0", listed, h.now-time.Millisecond, 0)
+	assert.Equal(t, crashes(), 0)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -46,7 +46,10 @@
 	if restarted && crashTimeKnown {
 		c.recordCrash(now, e, crashedAt, present)
 	}
-	c.acquit(now, e)
+	// A run that another incarnation lists has not been running there since its start was confirmed.
+	if !restarted {
+		c.acquit(now, e, present)
+	}
 	for t := range e.tasks {
 		run, ok := present[t.id]
 		if ok && run == t.run {
