--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -98,8 +98,7 @@
 // only its list shows that they are done. A cordon must hold when the executor registers again, because its machine is ordered.
 func (c *Core) ForgetExecutor(id string) bool {
 	e := c.executors[id]
-	_, unreconciled := c.unreconciled[id]
-	if e == nil || e.registered || e.cordoned || len(e.tasks) > 0 || unreconciled || e.lastEnd > e.durableEnd {
+	if e == nil || e.registered || e.cordoned || len(e.tasks) > 0 || !c.Reconciled(id) || e.lastEnd > e.durableEnd {
 		return false
 	}
 	c.removeMember(e)
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -132,10 +132,7 @@
 // mayTakeMembers reports whether an executor has the label that a gang needs and is not denied to it. The advice service is asked about an
 // executor only once it has room.
 func (p *placement) mayTakeMembers(s *step, e *executor) bool {
-	if s.spec.Label != "" && !e.info.HasLabel(s.spec.Label) {
-		return false
-	}
-	return s.occ.job.policy.Permits == nil || s.permits.state(e, p.now) != permitDenied
+	return s.labelFits(e) && (s.occ.job.policy.Permits == nil || s.permits.state(e, p.now) != permitDenied)
 }
 
 // afterFiniteTasks returns what is free on the executor once its finite tasks have ended, and when that is expected. overdue is how long
@@ -180,23 +177,22 @@
 		return nil
 	}
 	var chosen []*executor
+	defer func() {
+		for i, e := range chosen {
+			e.detach(s.tasks[i], e.idleSince)
+		}
+	}()
 	for _, t := range s.tasks {
 		var e *executor
 		if p.underCap(t) {
 			e = p.chooseExecutor(t, s.spec.Reserved(), rack)
 		}
 		if e == nil {
-			for i, e := range chosen {
-				e.detach(s.tasks[i], e.idleSince)
-			}
 			return nil
 		}
 		chosen = append(chosen, e)
 		e.attach(t)
 	}
-	for i, e := range chosen {
-		e.detach(s.tasks[i], e.idleSince)
-	}
 	return chosen
 }
 
@@ -204,7 +200,7 @@
 func (p *placement) hasSlots(s *step, rack string) bool {
 	slots := 0
 	for _, e := range p.candidates {
-		if (s.spec.Label == "" || e.info.HasLabel(s.spec.Label)) && (rack == "" || e.info.Rack == rack) {
+		if s.labelFits(e) && (rack == "" || e.info.Rack == rack) {
 			slots += s.slots(e, e.free())
 		}
 		if slots >= len(s.tasks) {
--- a/scheduler/permit.go
+++ b/scheduler/permit.go
@@ -67,7 +67,11 @@
 
 // wasPermitted reports whether the last answer about the executor was a permit.
 func (p *permits) wasPermitted(e *executor) bool {
-	return p != nil && p.answers[e.info.ID].permit != "" && p.answers[e.info.ID].incarnation == e.latestIncarnation()
+	if p == nil {
+		return false
+	}
+	a := p.answers[e.info.ID]
+	return a.permit != "" && a.incarnation == e.latestIncarnation()
 }
 
 // PermitRequest is a request to the advice service for permits to start the tasks of a step on some of Executors.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -237,6 +237,11 @@
 	return false
 }
 
+// labelFits reports whether an executor has the label that the tasks of the step need.
+func (s *step) labelFits(e *executor) bool {
+	return s.spec.Label == "" || e.info.HasLabel(s.spec.Label)
+}
+
 // chooseExecutor returns the executor with the least penalty for a task, or nil if there is none. Tasks are packed: they go
 // where they leave the least CPU free, so that other executors become idle and can be moved to other pools, and large tasks
 // still fit. For the same reason long-running tasks are packed on few executors, as long as this does not slow serving tasks
@@ -253,7 +258,7 @@
 	var unpermitted []*executor
 	apart := p.newSeparation(t)
 	for _, e := range p.candidates {
-		if !e.free().Fits(size) || (spec.Label != "" && !e.info.HasLabel(spec.Label)) || (rack != "" && e.info.Rack != rack) {
+		if !e.free().Fits(size) || !t.step.labelFits(e) || (rack != "" && e.info.Rack != rack) {
 			continue
 		}
 		if sh.limited && p.reserved.executors[e] {
