Blame a start only for crashes that are certain to follow it at once

What happened there: a task of job3 starts on x3 at 11.778 s; a response arrives at once. x3 crashes at 12.012 s, 0.234 s later, and again at 12.398, while calls to it get lost. At 13.252 the first report of the next incarnation arrives, the crash counts as the second one within 0.2 s of a start of this task, and the job fails, although no run of it has failed (LOST).

Cause: for an executor with contact until the next incarnation reports, crashTime was the time of the last response. That is the earliest time at which it may have crashed, so a start right before a response was blamed for any crash before the next one.

Ruled out: lists of ends that are cut off (all tasks of the job were listed); lost or waiting tasks (the log has "job failed", 0 failures of runs); the record of the job is missing in the message because it is deleted after a minute.

Change: crashTime is the latest possible time, that of the report. What refuses connections is known as before.

Why it works: a crash now counts against a start only if all of the time in which it may lie is within 0.2 s of the start. An executor that starts again at once reports at once and still counts; one that takes longer refuses connections in between, or nothing is known.

--- a/scheduler/crashes.go
+++ b/scheduler/crashes.go
@@ -77,18 +77,19 @@
 	}
 }
 
-// crashTime returns when an executor that has ended or started again crashed, as far as the owner can tell: when it refused connections, or
-// after its last response if there was contact until it started again. Without contact the time is unknown.
-func (e *executor) crashTime() (at time.Duration, ok bool) {
+// crashTime returns the latest time at which an executor that has ended or started again may have crashed: when it refused connections, or
+// now if there was contact until the first report of the next incarnation. The last response is no measure, as the executor may have run
+// for long after it. Without contact the time is unknown.
+func (e *executor) crashTime(now time.Duration) (at time.Duration, ok bool) {
 	if e.inContact {
-		return e.reportedAt, true
+		return now, true
 	}
 	return e.noContactSince, e.refused
 }
 
 // recordCrashOfSilent counts the crash of an executor without contact, once for each time of silence.
 func (c *Core) recordCrashOfSilent(now time.Duration, e *executor) {
-	if at, ok := e.crashTime(); ok && !e.inContact && !e.crashRecorded {
+	if at, ok := e.crashTime(now); ok && !e.inContact && !e.crashRecorded {
 		e.crashRecorded = true
 		c.recordCrash(now, e, at, nil)
 	}
--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -355,3 +355,33 @@
 	h.core.Report(h.now, "x0", listed, h.now-time.Millisecond, 0)
 	assert.Equal(t, crashes(), 0)
 }
+
+// Guards against a job that fails for a crash that no start explains: the owner hears of it only from the next incarnation, a second after
+// the last report, which came right after the start.
+func TestCrashesLongAfterTheLastReportAreNotBlamedOnAStart(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", batchStep(1, 1000))
+	h.core.LoseContact(h.now+100*time.Millisecond, "x0", true)
+	h.now += time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 2)
+	task := h.core.jobs["j"].occs[0].steps[0].tasks[0]
+	assert.Equal(t, task.crashes.recent, 1)
+	h.now += time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 3}, h.now-time.Millisecond, 0)
+	assert.Equal(t, h.core.jobs["j"].status, workload.StatusQueued, "crashes: %+v", task.crashes)
+	assert.Equal(t, task.crashes.recent, 1)
+}
+
+// Guards against a task that crashes its executors again and again because they start again before a call is refused.
+func TestCrashesOfExecutorsThatRestartAtOnceCount(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", batchStep(1, 1000))
+	for born := int64(2); born < 4; born++ {
+		h.now += 100 * time.Millisecond
+		h.core.Report(h.now, "x0", workload.Report{BornUnixMS: born}, h.now-time.Millisecond, 0)
+		h.runCommands()
+	}
+	assert.Equal(t, h.core.jobs["j"].status, workload.StatusFailed)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -11,7 +11,7 @@
 // last end that it covers.
 func (c *Core) Report(now time.Duration, id string, r workload.Report, sentAt time.Duration, lastEnd int64) {
 	e := c.executor(now, id)
-	crashedAt, crashTimeKnown := e.crashTime()
+	crashedAt, crashTimeKnown := e.crashTime(now)
 	crashTimeKnown = crashTimeKnown && !e.crashRecorded
 	e.crashRecorded = false
 	if e.reported && !e.inContact {
