Do not take a replaced session for a refused connection

A start that is open when the address of an executor changes is blamed for a crash, if an earlier incarnation had once refused connections.

Cause: Core.Reconnect ends the contact and leaves the field refused as it was at the last loss of contact, so crashTime took the time of the change for that of a crash. The tasks that were starting get this time as their start, so all of them were blamed.

Ruled out: that refused is cleared elsewhere; only LoseContact writes it.

Change: Reconnect clears it. What happened to the former process is unknown.

Evidence: TestAReplacedSessionTellsNothingAboutACrash failed before (1 crash counted), passes now.

--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -385,3 +385,18 @@
 	}
 	assert.Equal(t, h.core.jobs["j"].status, workload.StatusFailed)
 }
+
+// Guards against a start that is blamed for a crash of unknown time: its session was replaced, and the former crash of the executor was
+// one that refused connections.
+func TestAReplacedSessionTellsNothingAboutACrash(t *testing.T) {
+	h := newHarness(t, 1)
+	h.core.LoseContact(h.now, "x0", true)
+	h.now += time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
+	h.submit("j", batchStep(1, 1000))
+	h.now += 100 * time.Millisecond
+	h.core.Reconnect(h.now, "x0")
+	h.now += 5 * time.Second
+	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 3}, h.now-time.Millisecond, 0)
+	assert.Equal(t, h.core.jobs["j"].occs[0].steps[0].tasks[0].crashes, crashCounts{})
+}
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -193,7 +193,7 @@
 	if e == nil {
 		return
 	}
-	e.inContact, e.noContactSince = false, now
+	e.inContact, e.noContactSince, e.refused = false, now, false
 	for t := range e.tasks {
 		if t.state == taskStarting {
 			t.setState(taskRunning)
