Count crashes only if the list of ended runs is complete

The first report after a restart may have more ends than it lists. A run that the next incarnation carried out and that ended beyond the list was counted as lost in the crash, and its job could fail.

Change: such a report counts no crash. When the list is complete, the tasks are placed again as before, without blame.

Why it works: a crash is counted for runs that are gone, and that is known from a complete list only.

Evidence: TestAnIncompleteListOfEndsTellsNothingAboutACrash failed before (a recent and a late crash counted), passes now.

--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -400,3 +400,16 @@
 	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 3}, h.now-time.Millisecond, 0)
 	assert.Equal(t, h.core.jobs["j"].occs[0].steps[0].tasks[0].crashes, crashCounts{})
 }
+
+// Guards against a job that fails although its task may have ended: the first report of the next incarnation lists only some of the ends.
+func TestAnIncompleteListOfEndsTellsNothingAboutACrash(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("j", batchStep(1, 1000))
+	for born := int64(2); born < 4; born++ {
+		h.now += 100 * time.Millisecond
+		h.core.Report(h.now, "x0", workload.Report{BornUnixMS: born, MoreEnds: true}, h.now-time.Millisecond, 0)
+	}
+	j := h.core.jobs["j"]
+	assert.Equal(t, j.status, workload.StatusQueued)
+	assert.Equal(t, j.occs[0].steps[0].tasks[0].crashes, crashCounts{})
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -43,7 +43,7 @@
 	for _, x := range r.Ended {
 		c.handleEnded(now, e, x)
 	}
-	if restarted && crashTimeKnown {
+	if restarted && crashTimeKnown && !r.MoreEnds {
 		c.recordCrash(now, e, crashedAt, present)
 	}
 	// A run that another incarnation lists has not been running there since its start was confirmed.
