Count unwanted runs towards the cap of their organisation

Cause: what an organisation uses is the sum over placed tasks, and of what unreconciled executors may run for it. Once an executor has reported, its runs that no task needs count in neither. A final job of an earlier owner had lost its steps, so that the size of such a run was not known either.

Change: Core.setUnwantedRuns takes the tasks, and counts what they reserve towards their organisations until a report no longer lists them, the leases expire or the executor ends. Inherited jobs that are final but not completed keep their steps. Executors are forgotten only once runs() is 0, so that such runs are not dropped from the count while they go on.

Why it works: each run that a report lists belongs to a placed task, which counts, or is unwanted, which counts now.

Not covered: runs of jobs that no record names any more, and of jobs that completed before the takeover.

The new TestUnwantedRunsOfAnEndedExecutorDoNotCountTowardsTheCap fails if the executor is dropped without releasing its runs (0 starts in place of 1).

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -196,6 +196,10 @@
 	if j.status.Final() {
 		j.finalAt = now
 		j.spec = &workload.Job{ID: spec.ID}
+		if j.status != workload.StatusCompleted {
+			// Its runs may still be stopping, and count towards the cap of its organisation.
+			j.spec.Steps = spec.Steps
+		}
 		return nil
 	}
 	if spec.Recurrence == nil {
--- a/scheduler/executors.go
+++ b/scheduler/executors.go
@@ -79,6 +79,7 @@
 		e = &executor{
 			info: workload.Executor{ID: id}, noContactSince: now, idleSince: now, bestEffortPace: 100,
 			tasks: make(map[*task]struct{}), unwantedStopAt: make(map[workload.TaskID]time.Duration),
+			unwantedUse: make(map[*organisation]workload.Resources),
 		}
 		c.executors[id] = e
 	}
@@ -93,18 +94,24 @@
 	}
 }
 
-// ForgetExecutor drops an executor that is not registered, has no tasks, has listed no end that is not durable, and is neither
+// ForgetExecutor drops an executor that is not registered, runs nothing, has listed no end that is not durable, and is neither
 // unreconciled nor cordoned, and reports whether it did. A later owner that did not know the executor would start tasks again of which
 // only its list shows that they are done. A cordon must hold when the executor registers again, because its machine is ordered.
 func (c *Core) ForgetExecutor(id string) bool {
 	e := c.executors[id]
-	if e == nil || e.registered || e.cordoned || len(e.tasks) > 0 || !c.Reconciled(id) || e.lastEnd > e.durableEnd {
+	if e == nil || e.registered || e.cordoned || e.runs() > 0 || !c.Reconciled(id) || e.lastEnd > e.durableEnd {
 		return false
 	}
+	c.dropExecutor(e)
+	return true
+}
+
+// dropExecutor removes an executor on which nothing runs.
+func (c *Core) dropExecutor(e *executor) {
+	c.setUnwantedRuns(e.idleSince, e, nil)
 	c.removeMember(e)
 	c.joinRack(e, "")
-	delete(c.executors, id)
-	return true
+	delete(c.executors, e.info.ID)
 }
 
 // addMember lists an executor under its service.
@@ -142,9 +149,7 @@
 		c.requeue(now, t, lossExecutorEnded)
 	}
 	c.markReconciled(id)
-	c.removeMember(e)
-	c.joinRack(e, "")
-	delete(c.executors, id)
+	c.dropExecutor(e)
 }
 
 // silenceFields returns the log fields of a run on an executor that is taken to be gone with it.
@@ -209,7 +214,7 @@
 		return
 	}
 	c.markReconciled(id)
-	c.setUnwantedRuns(now, e, 0)
+	c.setUnwantedRuns(now, e, nil)
 	c.setMoreEnds(now, e, false)
 	c.recordCrashOfSilent(now, e)
 	for t := range e.tasks {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -32,11 +32,11 @@
 		clear(e.unwantedStopAt)
 	}
 	present := make(map[workload.TaskID]int, len(r.Running))
-	unwanted := 0
+	var unwanted []workload.TaskID
 	for _, x := range r.Running {
 		present[x.Task] = x.Run
 		if !c.handleRunning(now, e, x, sentAt, restarted) {
-			unwanted++
+			unwanted = append(unwanted, x.Task)
 		}
 	}
 	c.setUnwantedRuns(now, e, unwanted)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -313,6 +313,8 @@
 	// unwantedRuns is the number of runs in the last report that no task of this owner needs. Until they are gone the executor is not idle
 	// and gets no new tasks, because what they take of it may not be known.
 	unwantedRuns int
+	// unwantedUse is what these runs reserve of their organisations.
+	unwantedUse map[*organisation]workload.Resources
 	// unwantedStopAt is when stopUnwanted last ordered a stop, by task.
 	unwantedStopAt map[workload.TaskID]time.Duration
 	// bestEffortPace is the pace of the best-effort tasks in percent.
@@ -339,15 +341,39 @@
 	return n
 }
 
-// setUnwantedRuns sets the number of runs that no task needs.
-func (c *Core) setUnwantedRuns(now time.Duration, e *executor, n int) {
-	if e.unwantedRuns > 0 && n == 0 {
+// setUnwantedRuns sets the tasks whose runs on an executor nothing needs. What these reserve counts towards the caps of their
+// organisations until they are gone.
+func (c *Core) setUnwantedRuns(now time.Duration, e *executor, runs []workload.TaskID) {
+	if len(runs) < e.unwantedRuns {
 		c.dirtyServices[e.info.Service] = true
-		if len(e.tasks) == 0 {
-			e.idleSince = now
+		if len(e.unwantedUse) > 0 {
+			// Tasks of the organisations may wait in any service.
+			c.markActiveServicesDirty()
 		}
 	}
-	e.unwantedRuns = n
+	if e.unwantedRuns > 0 && len(runs) == 0 && len(e.tasks) == 0 {
+		e.idleSince = now
+	}
+	e.unwantedRuns = len(runs)
+	for o, use := range e.unwantedUse {
+		o.used = o.used.Sub(use)
+	}
+	clear(e.unwantedUse)
+	for _, id := range runs {
+		if o, size := c.reservedBy(id); o != nil {
+			o.used = o.used.Add(size)
+			e.unwantedUse[o] = e.unwantedUse[o].Add(size)
+		}
+	}
+}
+
+// reservedBy returns what a run of a task reserves and for which organisation; nil if it is not known.
+func (c *Core) reservedBy(id workload.TaskID) (*organisation, workload.Resources) {
+	j := c.jobs[id.Job]
+	if j == nil || id.Step >= len(j.spec.Steps) {
+		return nil, workload.Resources{}
+	}
+	return j.organisation, j.spec.Steps[id.Step].Reserved()
 }
 
 // free returns the resources that are not reserved.
--- a/scheduler/unwanted_test.go
+++ b/scheduler/unwanted_test.go
@@ -90,6 +90,27 @@
 	h.report("x0")
 	assert.Equal(t, len(h.stops), 1)
 	assert.Equal(t, len(h.starts), 0, "starts: %v while the run on x0 stops", h.starts)
+	clear(h.running["x0"])
+	h.report("x0")
+	assert.Equal(t, len(h.starts), 1, "the run on x0 is gone")
+}
+
+// Guards against a cap that stays used up after the executor of a stopping run has ended.
+func TestUnwantedRunsOfAnEndedExecutorDoNotCountTowardsTheCap(t *testing.T) {
+	h := newHarness(t, 0)
+	h.setOrganisation(2, workload.Organisation{Name: "o", Cap: workload.Resources{CPUMilli: 3000}})
+	spec := &workload.Job{ID: "old", Route: "queue", Service: service, ConfigVersion: 1, Organisation: "o", Steps: []workload.Step{batchStep(1, 3000)}}
+	assert.NilError(t, h.core.AddJob(h.now, spec, &Record{Status: workload.StatusCancelled}, 1, true))
+	h.addExecutor("x0", size)
+	h.addExecutor("x1", size)
+	h.running["x0"] = map[workload.TaskID]workload.RunningTask{taskID("old", 0, 0): {Task: taskID("old", 0, 0), Run: 1}}
+	h.report("x0")
+	h.submitFor("o", "new", batchStep(1, 3000))
+	assert.Equal(t, len(h.starts), 0)
+	h.core.LoseContact(h.now, "x0", true)
+	h.core.EndExecutor(h.now, "x0")
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 1)
 }
 
 // Guards against a job that fails although its task may never have run: an executor restarts twice within a poll while a start is unclear.
