Count tasks as unplaced once the advice service has answered

A long-running task whose queue needs permits counts as unplaced at once, so a machine is taken from another pool or standby, although executors with room have not been asked about yet.

Cause: Demand.Unplaced counts a task for which the pass found no executor. With permits none is found until one is known to be permitted.

Change: a step does not count, and no cordoned executor is looked for, while the advice service has yet to answer about executors with room (Core.awaitsPermits). A step that finds no room anywhere counts at once, as before, since no request is open for it.

Why it works: requests go on, page by page, until all executors with room were asked about; then the task is placed or counts.

Evidence: TestTasksCountAsUnplacedOnceAllExecutorsAreDenied failed before (1 in place of 0 before the first request), passes now.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -15,7 +15,7 @@
 	LongRunning int64
 	// Unplaced counts the long-running tasks for which the last pass found no executor. There may be free capacity, on
 	// executors that MaxPerExecutor or a cordon rules out. A step without MaxPerExecutor mostly counts once, because the
-	// pass does not try its other tasks.
+	// pass does not try its other tasks. A step does not count while the advice service has yet to answer about executors with room.
 	Unplaced int
 	// CordonedFit is a cordoned executor that could take one of these tasks; empty if there is none. CordonedFitFor is how long
 	// there has been one.
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -271,3 +271,18 @@
 	h.adviceService(func(workload.StepID, string) bool { return true }).respond()
 	assert.Assert(t, h.core.Waited()[WaitPermit] >= time.Second)
 }
+
+// Guards against a machine that is ordered for a long-running task while the advice service has yet to answer about executors with room.
+func TestTasksCountAsUnplacedOnceAllExecutorsAreDenied(t *testing.T) {
+	h := newHarness(t, 30)
+	h.withPermits(restrictedPolicy)
+	a := h.adviceService(func(workload.StepID, string) bool { return false })
+	h.addRestrictedJob("j", workload.Step{Count: 1, Size: workload.Resources{CPUMilli: 500}, LongRunning: true})
+	h.runCommands()
+	step := h.core.jobs["j"].occs[0].steps[0].id()
+	for len(a.asked[step]) < 30 {
+		assert.Equal(t, h.core.Demands(h.now)[service].Unplaced, 0, "%d executors were asked about", len(a.asked[step]))
+		assert.Assert(t, len(a.respond()) > 0)
+	}
+	assert.Equal(t, h.core.Demands(h.now)[service].Unplaced, 1)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -199,7 +199,7 @@
 			continue
 		}
 		if e == nil {
-			if s.spec.LongRunning {
+			if s.spec.LongRunning && !p.core.awaitsPermits(s) {
 				p.core.unplaced[t.job.service]++
 				p.findCordonedFit(t)
 			}
