Order no machines for gangs that all machines could not hold

A gang without room counts as waiting work, so idle machines move to its pool and stay there, although it could not start if all machines were in the pool.

Cause: Demand adds the work of each ready step, whatever could take it.

Change: the coordinator tells the core the capacities of all machines. The work of a gang that these could not hold, by size and MaxPerExecutor, is counted in Demand.Unplaceable, which plans no machines and is part of the backlog metric. A long-running gang of this kind asks for no machines either. Before the machines are known all steps count, as before.

Not covered: labels, which executors have and machines do not; one rack, since a gang without room in one may be spread over several.

Evidence: TestGangsThatNoMachinesCanHoldAttractNone (three kinds of gangs) passes; without the case in Demands it fails. It names SetMachineCapacities, which did not exist before. With one machine more the gang counts again.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -181,7 +181,9 @@
 		usage[u.ID] = i
 	}
 	s := pools.Snapshot{Now: now}
+	var capacities []workload.Resources
 	for _, m := range l.machines.list {
+		capacities = append(capacities, m.Capacity)
 		x := pools.Machine{Machine: m, Reported: m.Executor == ""}
 		if i, ok := usage[m.Executor]; ok && m.Executor != "" {
 			u := usages[i]
@@ -196,6 +198,7 @@
 	for _, w := range l.machines.waves {
 		s.Waves = append(s.Waves, w)
 	}
+	l.core.SetMachineCapacities(capacities)
 	demands := l.core.Demands(now)
 	for _, p := range l.machines.pools {
 		d := demands[p.Name]
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -143,7 +143,7 @@
 	var sum int64
 	unplaced := 0
 	for _, d := range core.Demands(now) {
-		sum += d.Waiting + d.Late + d.TooLate
+		sum += d.Waiting + d.Late + d.TooLate + d.Unplaceable
 		unplaced += d.Unplaced
 	}
 	m.unplaced.Set(float64(unplaced))
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -59,6 +59,8 @@
 	expired []ExpiredJob
 	// unplaced counts the long-running tasks of each service for which the last pass found no executor.
 	unplaced map[string]int
+	// machineCapacities counts all machines by capacity; nil if they are not known yet.
+	machineCapacities map[workload.Resources]int
 	// cordonedFits holds, by service, a cordoned executor that could take one of them.
 	cordonedFits map[string]cordonedFit
 	// acksPending is set if ends were processed that no commit covers yet.
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarackworks/tamarackworks/workload"
+)
 
 // Demand is the load of one service, from which machines are planned for its pool. Work is in thousandths of a core times
 // seconds.
@@ -9,6 +13,8 @@
 	// can be on time. Late is that of late jobs and of those beyond the share of their organisation. TooLate is that of
 	// jobs whose result has no value any more.
 	Waiting, Late, TooLate int64
+	// Unplaceable is the estimated work of ready gangs that all machines together could not hold, so that no machine helps them.
+	Unplaceable int64
 	// Arrived is the estimated work of all jobs that arrived since this owner started, without long-running tasks.
 	Arrived int64
 	// LongRunning is what ready long-running tasks reserve, in thousandths of a core.
@@ -43,7 +49,13 @@
 			waiting := d.waitingWork(rankOf(now, j).class)
 			for _, o := range j.occs {
 				for _, s := range o.steps {
-					d.add(s, waiting)
+					switch {
+					case s.remaining == 0 || !s.ready():
+					case s.spec.Gang && !c.machinesMayHold(s):
+						d.Unplaceable += int64(s.pending) * s.taskWork()
+					default:
+						d.add(s, waiting)
+					}
 				}
 			}
 		}
@@ -52,6 +64,30 @@
 	return demands
 }
 
+// SetMachineCapacities sets the capacities of all machines, in any pool and state. Before the first call nothing is known of them.
+func (c *Core) SetMachineCapacities(capacities []workload.Resources) {
+	c.machineCapacities = make(map[workload.Resources]int)
+	for _, capacity := range capacities {
+		c.machineCapacities[capacity]++
+	}
+}
+
+// machinesMayHold reports whether all members of a gang would fit at the same moment if all machines were empty and in its pool.
+func (c *Core) machinesMayHold(s *step) bool {
+	if c.machineCapacities == nil {
+		return true
+	}
+	members := 0
+	for capacity, machines := range c.machineCapacities {
+		each := capacity.Times(s.spec.Reserved(), s.spec.Count)
+		if s.spec.MaxPerExecutor > 0 {
+			each = min(each, s.spec.MaxPerExecutor)
+		}
+		members += machines * each
+	}
+	return members >= s.spec.Count
+}
+
 // waitingWork returns the field that counts the waiting work of a job of a class.
 func (d *Demand) waitingWork(class int) *int64 {
 	switch class {
@@ -63,12 +99,8 @@
 	return &d.Waiting
 }
 
-// add counts the pending tasks of a step, if it is ready: those that are not long-running in waiting, which points to a field
-// of d.
+// add counts the pending tasks of a ready step: those that are not long-running in waiting, which points to a field of d.
 func (d *Demand) add(s *step, waiting *int64) {
-	if s.remaining == 0 || !s.ready() {
-		return
-	}
 	if s.spec.LongRunning {
 		if s.spec.MaxPerExecutor > 0 {
 			d.Spread = max(d.Spread, (s.spec.Count+s.spec.MaxPerExecutor-1)/s.spec.MaxPerExecutor)
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -279,3 +279,25 @@
 	h.core.task(taskID("gang", 0, 0)).crashes.recent = 0
 	assert.Assert(t, p.reservationFor(h.core.jobs["gang"].occs[0].steps[0]) != nil)
 }
+
+// Guards against machines that a gang attracts and keeps from other pools although all machines together could not hold it.
+func TestGangsThatNoMachinesCanHoldAttractNone(t *testing.T) {
+	member := workload.Step{Count: 3, Size: workload.Resources{CPUMilli: size.CPUMilli}, Estimate: 1000, Gang: true}
+	few := workload.Step{Count: 3, Size: workload.Resources{CPUMilli: 100}, Estimate: 1000, Gang: true, MaxPerExecutor: 1}
+	lasting := member
+	lasting.LongRunning, lasting.MaxPerExecutor = true, 1
+	for name, gang := range map[string]workload.Step{"wide": member, "spread": few, "long-running": lasting} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.submit("gang", gang)
+			assert.Assert(t, h.core.Demands(h.now)[service] != Demand{Arrived: h.core.arrivedWork[service]}, "the machines are not known yet")
+			h.core.SetMachineCapacities([]workload.Resources{size, size})
+			d := h.core.Demands(h.now)[service]
+			assert.Equal(t, d.Waiting+d.Late+d.TooLate+d.LongRunning+int64(d.Spread), int64(0))
+			h.core.SetMachineCapacities([]workload.Resources{size, size, size})
+			d = h.core.Demands(h.now)[service]
+			assert.Assert(t, d.Waiting+d.LongRunning > 0)
+			assert.Equal(t, d.Unplaceable, int64(0))
+		})
+	}
+}
