Give a pool without a machine one for any work

Cause: a machine moves only if the shortfall of a pool is worth a move. Work that is too late does not count, late work counts a quarter, and little work that can be on time does not reach the bound either. In a pool with a machine this is right, as that one does the work.

Change: a pool with waiting finite work and no machine that is reachable, on its way or not heard of yet asks for one, after work that can be on time has been served everywhere.

Not covered: a machine whose executor this owner never hears of counts as one that may still report.

Evidence: TestAnyWorkBringsAMachineToAPoolWithoutOne failed before in its three cases (0 machines in place of 1). It also checks that none is ordered while one is on its way, unreported or busy.

--- a/pools/moves.go
+++ b/pools/moves.go
@@ -36,8 +36,9 @@
 	freeCPU, incomingCPU float64
 	// finiteCPU is the CPU that finite tasks reserve on its machines.
 	finiteCPU float64
-	// machines is the number of machines that are reachable or about to be, inTransit the number of those on their way.
-	machines, inTransit int
+	// machines is the number of machines that are reachable or about to be, inTransit the number of those on their way, unreported the
+	// number of those whose executor this owner has not heard of yet.
+	machines, inTransit, unreported int
 	// idle holds the machines that can be moved away, longest idle first except in standby.
 	idle []*Machine
 	// busy holds the machines on which only finite tasks run.
@@ -75,6 +76,10 @@
 	yielding := yieldingMachines(states)
 	for _, p := range states {
 		p.shortfall += lateWeight * float64(p.Late) / backlogClearTime.Seconds()
+		if p.machines+p.inTransit+p.unreported == 0 && p.Waiting+p.Late+p.TooLate > 0 {
+			// However little or late the work is, without a machine it would wait for good.
+			p.shortfall = max(p.shortfall, p.machineCPU)
+		}
 	}
 	actions = append(actions, a.assignMachines(s.Now, states, standby)...)
 	if standby != nil {
@@ -189,6 +194,8 @@
 func (p *poolState) addMachine(m *Machine, standby *poolState) {
 	if p == standby || m.Executor == "" || m.Reachable {
 		p.machines++
+	} else if !m.Reported {
+		p.unreported++
 	}
 	switch {
 	case p == standby:
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -120,6 +120,30 @@
 	assert.DeepEqual(t, movesTo(PlanMoves(s, NewArrivals()).Actions), map[string]int{"a": 1})
 }
 
+// Guards against jobs that stay queued for good: no machine is left in their pool, and their work is too little or too late to attract one.
+func TestAnyWorkBringsAMachineToAPoolWithoutOne(t *testing.T) {
+	unreachable, unreported := machine("a0", "a", 1), machine("a0", "a", 1)
+	unreachable.Usable, unreachable.Reachable, unreachable.FreeCPU = false, false, 0
+	unreported.Usable, unreported.Reachable, unreported.Reported = false, false, false
+	for name, pool := range map[string]Pool{"too late": {TooLate: 1}, "late": {Late: 1}, "in time": {Waiting: 1}} {
+		t.Run(name, func(t *testing.T) {
+			pool.Name = "a"
+			moves := func(own ...Machine) int {
+				s := Snapshot{Now: time.Second, Pools: []Pool{pool, {Name: "b"}}}
+				s.Machines = append(own, machine("b0", "b", 0), machine("b1", "b", 0), machine("b2", "b", 0))
+				return movesTo(PlanMoves(s, NewArrivals()).Actions)["a"]
+			}
+			assert.Equal(t, moves(), 1)
+			assert.Equal(t, moves(unreachable), 1)
+			assert.Equal(t, moves(unreported), 0, "it may be usable")
+			incoming := machine("b3", "a", 0)
+			incoming.State = workload.MachineMoving
+			assert.Equal(t, moves(incoming), 0)
+			assert.Equal(t, moves(machine("a0", "a", 1)), 0, "its tasks will end")
+		})
+	}
+}
+
 // Guards against moving a machine on which a task runs.
 func TestBusyMachinesStay(t *testing.T) {
 	s := Snapshot{Now: time.Second, Pools: []Pool{{Name: "a", Waiting: 50000}, {Name: "b"}}}
