--- a/scheduler/crashes_test.go
+++ b/scheduler/crashes_test.go
@@ -331,8 +331,8 @@
 	assert.Equal(t, h.core.jobs["j"].status, workload.StatusQueued)
 }
 
-// Guards against a task that is cleared by the crash of its executor: behind a cut, the owner hears only from the next incarnation.
-func TestOnlyAReportThatListsTheRunClearsASuspect(t *testing.T) {
+// harnessWithSuspect returns a harness whose only executor crashed at the start of the task of job "j", and has started it again.
+func harnessWithSuspect(t *testing.T) *harness {
 	h := newHarness(t, 1)
 	h.submit("j", batchStep(1, 1000))
 	h.core.LoseContact(h.now+100*time.Millisecond, "x0", true)
@@ -340,6 +340,12 @@
 	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
 	h.runCommands()
 	assert.Equal(t, len(h.starts), 2)
+	return h
+}
+
+// Guards against a task that is cleared by the crash of its executor: behind a cut, the owner hears only from the next incarnation.
+func TestOnlyAReportThatListsTheRunClearsASuspect(t *testing.T) {
+	h := harnessWithSuspect(t)
 	crashes := func() int { return h.core.jobs["j"].occs[0].steps[0].tasks[0].crashes.recent }
 	h.core.LoseContact(h.now+100*time.Millisecond, "x0", false)
 	for _, r := range []workload.Report{
@@ -359,13 +365,7 @@
 // Guards against a job that fails for a crash that no start explains: the owner hears of it only from the next incarnation, a second after
 // the last report, which came right after the start.
 func TestCrashesLongAfterTheLastReportAreNotBlamedOnAStart(t *testing.T) {
-	h := newHarness(t, 1)
-	h.submit("j", batchStep(1, 1000))
-	h.core.LoseContact(h.now+100*time.Millisecond, "x0", true)
-	h.now += time.Second
-	h.core.Report(h.now, "x0", workload.Report{BornUnixMS: 2}, h.now-time.Millisecond, 0)
-	h.runCommands()
-	assert.Equal(t, len(h.starts), 2)
+	h := harnessWithSuspect(t)
 	task := h.core.jobs["j"].occs[0].steps[0].tasks[0]
 	assert.Equal(t, task.crashes.recent, 1)
 	h.now += time.Second
