Bound the connections that wait to be accepted

What callers saw: nothing in calm.

Cause: the queue of a listener is as long as somaxconn (4,096 here), whatever the process admits. Each connection in it has a receive buffer of up to 64 KiB, and what the client has sent counts as memory of the host on the users' platform. No limit counted them.

Ruled out: connections that are accepted. Of 19.2 MB in the receive queues, 19.1 MB belonged to connections without an owner (/proc/net/tcp, inode 0; trial on a scratch copy).

Change: a listener with a limiter calls listen a second time with the number of connections that the limiter admits, at least 32. Linux changes only the length of the queue then. No setting: the number follows from 'connections'.

Why it works: the kernel drops the first packet of a connection when the queue is full; clients send it again after a second.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -71,6 +71,11 @@
 		return errors.Wrap(ErrListen, err.Error())
 	}
 	s.opts.Address = l.Addr().String()
+	if s.opts.Limiter != nil {
+		if err := s.opts.Limiter.LimitQueue(l); err != nil {
+			return errors.Join(ErrListen, err, l.Close())
+		}
+	}
 	if s.opts.WrapListener != nil {
 		l = s.opts.WrapListener(l)
 	}
--- a/ingresslimit/ingresslimit.go
+++ b/ingresslimit/ingresslimit.go
@@ -127,6 +127,26 @@
 	}}
 }
 
+// minQueue is the least number of connections that the kernel completes before the process accepts them.
+const minQueue = 32
+
+// LimitQueue bounds the connections that the kernel completes while none is accepted, to as many as the limiter admits. Each holds what its
+// client has sent. The kernel drops the first packet of further ones, and their clients send it again.
+func (l *Limiter) LimitQueue(inner net.Listener) error {
+	s, ok := inner.(syscall.Conn)
+	if !ok {
+		return errors.Errorf("ingresslimit: the queue of a %T cannot be bounded", inner)
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	// A second call for a listening socket changes the length of its queue only.
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), max(l.opts.Connections, minQueue)) })
+	return errors.Join(err, listenErr)
+}
+
 // Configure adds to a server what the limiter needs to know of connections, and bounds HTTP/2.
 func (l *Limiter) Configure(s *http.Server) {
 	s.Handler = l.handler(s.Handler)
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -67,6 +67,8 @@
 	FixedPools bool
 	// LogLevel is the log level of the entry hosts; "info" if empty.
 	LogLevel string
+	// MemoryMB is the memory of the entry hosts in their settings; 0 leaves it out.
+	MemoryMB int
 }
 
 // Entry is an entry host: its process, its identity and the addresses of its listeners.
@@ -251,6 +253,10 @@
 	if level == "" {
 		level = "info"
 	}
+	limits := ""
+	if f.opts.MemoryMB > 0 {
+		limits = fmt.Sprintf("[limits]\nmemory_mb = %d\n", f.opts.MemoryMB)
+	}
 	return fmt.Sprintf(`[entry]
 id = %s
 data_centre = %s
@@ -279,7 +285,7 @@
 [shutdown]
 lame_duck = 500ms
 `, e.ID, e.DataCentre, e.Host, e.CallerAddress, e.OperatorAddress, e.PeerAddress, e.AdminAddress, f.PlatformURL, strings.Join(peers, ", "),
-		f.certs.Cert, f.certs.Key, f.certs.CA, f.filePath("peer.token"), f.filePath("operators"), profile, !f.opts.FixedPools, level)
+		f.certs.Cert, f.certs.Key, f.certs.CA, f.filePath("peer.token"), f.filePath("operators"), profile, !f.opts.FixedPools, level) + limits
 }
 
 // startProcesses starts the platform before the entry hosts, which read their state from it.
