--- a/internal/ingresscheck/crowd_test.go
+++ b/internal/ingresscheck/crowd_test.go
@@ -85,10 +85,12 @@
 }
 
 // wire returns the bytes that client n sends.
-func (c *client) wire(n int) []byte {
-	finish := n%finishEvery == 0
+func (c *client) wire(n int) []byte { return c.encode(fmt.Sprintf(c.header, n), n%finishEvery == 0) }
+
+// encode returns a request, up to its end or just short of it.
+func (c *client) encode(header string, finish bool) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, c.header, n)
+	b.WriteString(header)
 	if c.chunk == 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(c.body))
 		b.Write(c.body)
