Check the tokens of peers and operators before anything is read

What callers saw: anybody who reaches the APIs of peers or operators ended a tamarackd without a token, and callers' connections were refused from then on.

Cause: the token was checked by an interceptor, which runs once a message has been read, decompressed and decoded. 30 KB of gzip decompress to 30 MB (32 MiB are allowed), and an empty ticket of three bytes is a message of some 100.

Ruled out: bytes on the wire, which the limiter bounds (8 MiB for peers); the handlers, which do not run.

Change: the limiter of a listener may check credentials, before it takes room for a body. It answers 401 in the protocol of the call, counts the refusal under the cause 'credentials' and closes the connection. The interceptors stay, as they tell who the operator is.

Why it works: nothing of a body is read, so nothing can be decompressed or decoded.

The two landed tests of these APIs send no token and would no longer reach the limits of bodies.

Not covered: messages of clients with a valid token, and security that is switched off.

--- a/agent/ingress.go
+++ b/agent/ingress.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/tamarackworks/tamarackworks/entry"
 	"github.com/tamarackworks/tamarackworks/ingresslimit"
+	"github.com/tamarackworks/tamarackworks/operator"
+	"github.com/tamarackworks/tamarackworks/peer"
 	"github.com/tamarackworks/tamarackworks/settings"
 	"github.com/tamarackworks/tamarackworks/telemetry"
 )
@@ -56,15 +58,15 @@
 	return ingresslimit.New(o)
 }
 
-func (x ingressLimits) peers() *ingresslimit.Limiter {
+func (x ingressLimits) peers(s *peer.Service) *ingresslimit.Limiter {
 	o := x.limiter("peers", x.connections/2, x.bodyBytes/3)
-	o.ReserveFirst = true
+	o.ReserveFirst, o.Authenticate = true, s.Authenticate
 	return ingresslimit.New(o)
 }
 
-func (x ingressLimits) operators() *ingresslimit.Limiter {
+func (x ingressLimits) operators(s *operator.Server) *ingresslimit.Limiter {
 	o := x.limiter("operators", x.connections/12, operatorBodyBytes)
-	o.ReserveFirst = true
+	o.ReserveFirst, o.Authenticate = true, s.Authenticate
 	return ingresslimit.New(o)
 }
 
--- a/agent/operator.go
+++ b/agent/operator.go
@@ -32,7 +32,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
-	return k.Register("operator", a.httpServer(a.settings.OperatorListen, mux, config, a.limits.operators()))
+	return k.Register("operator", a.httpServer(a.settings.OperatorListen, mux, config, a.limits.operators(server)))
 }
 
 // EntryStatus implements operator.Entries. It returns the status of this entry host and of its peers with regard
--- a/agent/peers.go
+++ b/agent/peers.go
@@ -51,7 +51,7 @@
 	l := a.settings.Limits
 	return k.Register("peer", daemon.NewHTTPServer(daemon.HTTPOptions{
 		Address: a.settings.PeerListen, Handler: mux, TLS: server, ReadHeaderTimeout: l.ReadHeaderTimeout,
-		IdleTimeout: l.IdleTimeout, Limiter: a.limits.peers(), WrapListener: func(l net.Listener) net.Listener { return meter.Listener(l) },
+		IdleTimeout: l.IdleTimeout, Limiter: a.limits.peers(a.peers), WrapListener: func(l net.Listener) net.Listener { return meter.Listener(l) },
 	}))
 }
 
--- a/ingresslimit/body.go
+++ b/ingresslimit/body.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
 )
 
@@ -43,6 +44,13 @@
 		c, _ := r.Context().Value(connKey{}).(*conn)
 		l.beginRequest(c)
 		defer l.endRequest(c)
+		if l.opts.Authenticate != nil {
+			if err := l.opts.Authenticate(r.Header); err != nil {
+				l.opts.Metrics.refusals.WithLabelValues(l.opts.Listener, "credentials").Inc()
+				rejectUnauthenticated(w, r, err)
+				return
+			}
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			next.ServeHTTP(w, r)
 			return
@@ -76,6 +84,20 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// errorWriter writes errors in the protocol of a call.
+var errorWriter = connect.NewErrorWriter()
+
+// rejectUnauthenticated answers a request of an unknown client, and closes the connection.
+func rejectUnauthenticated(w http.ResponseWriter, r *http.Request, cause error) {
+	Discard(w)
+	if !errorWriter.IsSupported(r) {
+		http.Error(w, cause.Error(), http.StatusUnauthorized)
+		return
+	}
+	// The client may have closed the connection.
+	_ = errorWriter.Write(w, r, connect.NewError(connect.CodeUnauthenticated, cause))
+}
+
 // Discard makes the server close the connection of a request whose body is not read, after a short time in which the client
 // can receive the response. It must be called before the header of the response is written.
 func Discard(w http.ResponseWriter) {
--- a/ingresslimit/ingresslimit.go
+++ b/ingresslimit/ingresslimit.go
@@ -70,6 +70,9 @@
 	// ReserveFirst takes the room for a body before the handler runs, for handlers that do not call Admit. It answers 503 if
 	// there is none.
 	ReserveFirst bool
+	// Authenticate, if set, returns an error for requests of unknown clients before room is taken and anything is read of their bodies.
+	// They are answered with 401.
+	Authenticate func(http.Header) error
 	// Refuse, if set, answers requests for which there is no room, instead of a plain 503.
 	Refuse func(http.ResponseWriter, *http.Request)
 
--- a/ingresslimit/ingresslimit_test.go
+++ b/ingresslimit/ingresslimit_test.go
@@ -168,6 +168,32 @@
 	}
 }
 
+// Guards against reading anything of a request whose credentials are wrong, and against room that is taken for it.
+func TestUnknownClientsAreRefusedUnread(t *testing.T) {
+	l := newTestLimiter(Options{Connections: 8, BodyBytes: 10, ReserveFirst: true, Authenticate: func(h http.Header) error {
+		if h.Get("Authorization") == "" {
+			return errors.New("who are you")
+		}
+		return nil
+	}})
+	address := startServer(t, l, readWhole)
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\nContent-Length: 1000\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err, "the body was waited for")
+	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized)
+	assert.NilError(t, resp.Body.Close())
+	r, err := http.NewRequest(http.MethodPost, "http://"+address, strings.NewReader("x"))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer x")
+	resp, err = http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.NilError(t, resp.Body.Close())
+}
+
 // Guards against a large body that is refused although nothing else is in memory.
 func TestLoneBodyMayExceedTheBudget(t *testing.T) {
 	l := newTestLimiter(Options{Connections: 8, BodyBytes: 10, ExceedAlone: true})
--- a/ingresslimit/metrics.go
+++ b/ingresslimit/metrics.go
@@ -18,7 +18,7 @@
 			Name: "tamarack_ingress_body_bytes", Help: "Bytes of memory that are taken for request bodies, by listener.",
 		}, []string{"listener"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "tamarack_ingress_refusals_total", Help: "Connections and requests refused because a limit was reached, by listener and limit.",
+			Name: "tamarack_ingress_refusals_total", Help: "Connections and requests refused because a limit was reached or the credentials are wrong, by listener and cause.",
 		}, []string{"listener", "cause"}),
 		drops: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tamarack_ingress_drops_total", Help: "Connections and requests ended because the client sent nothing or too slowly, by listener and cause.",
--- a/internal/ingresscheck/crowd_test.go
+++ b/internal/ingresscheck/crowd_test.go
@@ -130,7 +130,7 @@
 
 // sendStreams lets crowdSize clients send bodies of unknown length in streams of few HTTP/2 connections. All stop short of the
 // end. It returns when each has sent its body or was refused.
-func sendStreams(t *testing.T, url, contentType string, config *tls.Config, body []byte) {
+func sendStreams(t *testing.T, url string, header http.Header, config *tls.Config, body []byte) {
 	t.Helper()
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
@@ -160,7 +160,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r.Header.Set("Content-Type", contentType)
+		r.Header = header.Clone()
 		ended.Go(func() {
 			timeout := time.AfterFunc(writeTimeout, once)
 			defer timeout.Stop()
--- a/internal/ingresscheck/entry_test.go
+++ b/internal/ingresscheck/entry_test.go
@@ -109,28 +109,46 @@
 
 const rpcHeader = " HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
 
-// Guards against the same on the APIs of peers and operators, which read a body before they check its token.
-func TestEntryPeerAndOperatorBodies(t *testing.T) {
+// Guards against the same on the APIs of peers and operators.
+func TestEntryPeerAndOperatorBodies(t *testing.T) { checkPeerAndOperatorBodies(t, "", "") }
+
+// Guards against the same if the clients have valid tokens.
+func TestEntryPeerAndOperatorBodiesWithTokens(t *testing.T) {
+	checkPeerAndOperatorBodies(t, authorization(localfleet.PeerToken), authorization(localfleet.OperatorToken))
+}
+
+// authorization returns a header line with a token.
+func authorization(token string) string { return "Authorization: Bearer " + token + "\r\n" }
+
+// checkPeerAndOperatorBodies sends a crowd to either API, with further header lines.
+func checkPeerAndOperatorBodies(t *testing.T, peerHeader, operatorHeader string) {
+	t.Helper()
 	e := startEntry(t)
-	httpClient, _, err := e.fleet.OperatorHTTPClient()
-	assert.NilError(t, err)
-	config := httpClient.Transport.(*http.Transport).TLSClientConfig
-	config.ServerName = "127.0.0.1"
 	body := bytes.Repeat([]byte(" "), entryBodyBytes)
-	sendCrowd(t, e.PeerAddress, config, client{header: "POST " + fleetv1connect.PeerServiceForwardProcedure + "?%016x" + rpcHeader, body: body})
-	sendCrowd(t, e.OperatorAddress, config, client{
-		header: "POST " + fleetv1connect.OperatorServiceSubmitTicketProcedure + "?%016x" + rpcHeader, body: body, chunk: largeChunk,
+	sendCrowd(t, e.PeerAddress, e.tlsConfig(t), client{
+		header: "POST " + fleetv1connect.PeerServiceForwardProcedure + "?%016x" + rpcHeader + peerHeader, body: body,
+	})
+	sendCrowd(t, e.OperatorAddress, e.tlsConfig(t), client{
+		header: "POST " + fleetv1connect.OperatorServiceSubmitTicketProcedure + "?%016x" + rpcHeader + operatorHeader, body: body, chunk: largeChunk,
 	})
 	e.check(t)
 }
 
 // Guards against the same with HTTP/2 streams, many of which share a connection.
 func TestEntryPeerStreams(t *testing.T) {
+	checkPeerStreams(t, http.Header{"Content-Type": {"application/json"}})
+}
+
+// Guards against the same if the clients have valid tokens.
+func TestEntryPeerStreamsWithTokens(t *testing.T) {
+	checkPeerStreams(t, http.Header{"Content-Type": {"application/json"}, "Authorization": {"Bearer " + localfleet.PeerToken}})
+}
+
+func checkPeerStreams(t *testing.T, header http.Header) {
+	t.Helper()
 	e := startEntry(t)
-	httpClient, _, err := e.fleet.OperatorHTTPClient()
-	assert.NilError(t, err)
-	sendStreams(t, "https://"+e.PeerAddress+fleetv1connect.PeerServiceForwardProcedure, "application/json",
-		httpClient.Transport.(*http.Transport).TLSClientConfig, bytes.Repeat([]byte(" "), entryBodyBytes))
+	sendStreams(t, "https://"+e.PeerAddress+fleetv1connect.PeerServiceForwardProcedure, header, e.tlsConfig(t),
+		bytes.Repeat([]byte(" "), entryBodyBytes))
 	e.check(t)
 }
 
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -26,8 +26,8 @@
 
 // Credentials of the local fleet. They are public constants: they protect nothing outside of loopback.
 const (
-	peerToken     = "local-fleet-peer-token"
-	operatorToken = "local-fleet-operator-token"
+	PeerToken     = "local-fleet-peer-token"
+	OperatorToken = "local-fleet-operator-token"
 	operatorName  = "operator"
 )
 
@@ -129,9 +129,9 @@
 		return err
 	}
 	err = errors.Join(
-		f.writeFile("peer.token", peerToken+"\n"),
-		f.writeFile("operators", operatorName+" "+operatorToken+"\n"),
-		f.writeFile("operator.token", operatorToken+"\n"),
+		f.writeFile("peer.token", PeerToken+"\n"),
+		f.writeFile("operators", operatorName+" "+OperatorToken+"\n"),
+		f.writeFile("operator.token", OperatorToken+"\n"),
 	)
 	if err != nil {
 		return err
--- a/internal/localfleet/operator.go
+++ b/internal/localfleet/operator.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, operatorToken, nil
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: config}}, OperatorToken, nil
 }
 
 // OperatorClient returns a client of the operator API that calls the first running entry host.
--- a/operator/auth.go
+++ b/operator/auth.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"net/http"
 	"strings"
 
 	"connectrpc.com/connect"
@@ -26,13 +27,19 @@
 	return name
 }
 
-// newAuthInterceptor returns an interceptor that requires one of the tokens, which map to operator names. Without tokens
-// it accepts every call.
-func newAuthInterceptor(tokens map[string]string) connect.UnaryInterceptorFunc {
+func newCredentials(tokens map[string]string) []credential {
 	credentials := make([]credential, 0, len(tokens))
 	for token, name := range tokens {
 		credentials = append(credentials, credential{digest: sha256.Sum256([]byte(token)), name: name})
 	}
+	return credentials
+}
+
+// errUnauthenticated means that a call carries no token of an operator.
+var errUnauthenticated = errors.New("a valid bearer token is required")
+
+// newAuthInterceptor returns an interceptor that requires one of the credentials. Without credentials it accepts every call.
+func newAuthInterceptor(credentials []credential) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
 			if len(credentials) == 0 {
@@ -40,13 +47,25 @@
 			}
 			name, ok := authenticate(credentials, req.Header().Get("Authorization"))
 			if !ok {
-				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("a valid bearer token is required"))
+				return nil, connect.NewError(connect.CodeUnauthenticated, errUnauthenticated)
 			}
 			return next(context.WithValue(ctx, operatorNameKey{}, name), req)
 		}
 	}
 }
 
+// Authenticate returns an error unless the header of a call carries the token of an operator, or no token is required. The handler
+// checks it too, but only once it has read and decoded the message.
+func (s *Server) Authenticate(h http.Header) error {
+	if len(s.credentials) == 0 {
+		return nil
+	}
+	if _, ok := authenticate(s.credentials, h.Get("Authorization")); !ok {
+		return errUnauthenticated
+	}
+	return nil
+}
+
 // authenticate returns the operator whose token is in an Authorization header. It compares with every credential, so that
 // the time does not depend on which one matches.
 func authenticate(credentials []credential, header string) (string, bool) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -55,7 +55,8 @@
 
 // Server implements the operator service.
 type Server struct {
-	opts Options
+	opts        Options
+	credentials []credential
 }
 
 var _ fleetv1connect.OperatorServiceHandler = (*Server)(nil)
@@ -65,7 +66,7 @@
 	if opts.Log == nil {
 		opts.Log = &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	}
-	return &Server{opts: opts}
+	return &Server{opts: opts, credentials: newCredentials(opts.Tokens)}
 }
 
 // Handler returns the handler of the operator API and the path prefix to mount it at. It registers the metrics and must be
@@ -76,7 +77,7 @@
 		return "", nil, errors.Wrap(err, "register metrics of the operator API")
 	}
 	prefix, handler := fleetv1connect.NewOperatorServiceHandler(s,
-		connect.WithInterceptors(telemetry, newAuthInterceptor(s.opts.Tokens)),
+		connect.WithInterceptors(telemetry, newAuthInterceptor(s.credentials)),
 		connect.WithReadMaxBytes(maxRequestBytes))
 	return prefix, handler, nil
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -52,19 +53,33 @@
 func bearerInterceptor(token string) connect.Interceptor {
 	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			if token == "" {
-				return next(ctx, req)
-			}
 			if req.Spec().IsClient {
-				req.Header().Set("Authorization", "Bearer "+token)
-			} else if !security.Equal(security.Bearer(req.Header()), token) {
-				return nil, connect.NewError(connect.CodeUnauthenticated, nil)
+				if token != "" {
+					req.Header().Set("Authorization", "Bearer "+token)
+				}
+			} else if err := authenticate(req.Header(), token); err != nil {
+				return nil, connect.NewError(connect.CodeUnauthenticated, err)
 			}
 			return next(ctx, req)
 		}
 	})
 }
 
+// errUnauthenticated means that a call does not carry the token of the peers.
+var errUnauthenticated = errors.New("peer: a valid bearer token is required")
+
+// authenticate returns an error unless the header of a call carries the token. It accepts every call if the token is empty.
+func authenticate(h http.Header, token string) error {
+	if token == "" || security.Equal(security.Bearer(h), token) {
+		return nil
+	}
+	return errUnauthenticated
+}
+
+// Authenticate returns an error unless the header of a call carries the token of the peers. The handler checks it too, but only once it
+// has read and decoded the message.
+func (s *Service) Authenticate(h http.Header) error { return authenticate(h, s.opts.Token) }
+
 // tracingInterceptor records a span for each call that it sees, as a client or a server, and propagates the trace context.
 // It skips heartbeats, which are too frequent to trace.
 func tracingInterceptor(tracer trace.Tracer) connect.Interceptor {
