Refuse compressed messages between hosts of tamarack-node

What callers saw: 100 messages of 30 KB to the internal listener, which needs no token, made a tamarack-node of 64 MB take 1,758 MiB.

Cause: the handler of other hosts decompressed gzip without any bound, as the library does by default. The room that the limiter takes for a body is that of its bytes on the wire. On the peers' API of tamarackd the same is closed by checking the token first; this API has none.

Ruled out: messages that are not compressed (TestNodeInternalWholeMessages, 58.3 MiB of 64 before, kept as a guard).

Evidence, crowd and bound fixed before the change: TestNodeInternalCompressedMessages, 1,758.1 MiB of 64 on the code before.

Change: the handler offers no compression and reads 1 MiB at most. A host never compressed its requests, so hosts of former versions are not affected; responses of some dozen bytes are sent plain.

Why it works: a message takes what its bytes on the wire take, for which there is room.

--- a/internal/ingresscheck/messages_test.go
+++ b/internal/ingresscheck/messages_test.go
@@ -5,11 +5,13 @@
 	"compress/gzip"
 	"crypto/tls"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/tamarackworks/tamarackworks/internal/gen/fleet/v1/fleetv1connect"
+	"github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1/schedulev1connect"
 )
 
 // The tests of this file send complete messages to the APIs of other hosts and of operators.
@@ -30,6 +32,22 @@
 	return b.Bytes()
 }
 
+// Guards against messages of other hosts that are decompressed without any bound.
+func TestNodeInternalCompressedMessages(t *testing.T) {
+	n := startNode(t)
+	message := compressed(t, []byte(`{"job":"`+strings.Repeat("x", messageBytes)+`"}`))
+	wholeCrowd{clients: 100, requests: 1}.send(t, n.internal, "POST "+schedulev1connect.ScheduleServiceJobStatusProcedure+"?%016x"+rpcHeader+gzipHeader, message)
+	n.check(t)
+}
+
+// Guards against the same with messages that are not compressed, all of them as large as the budget for bodies lets pass.
+func TestNodeInternalWholeMessages(t *testing.T) {
+	n := startNode(t)
+	message := []byte(`{"value":"` + strings.Repeat("x", nodeBodyBytes-12) + `"}`)
+	wholeCrowd{clients: crowdSize, requests: waves}.send(t, n.internal, "POST "+schedulev1connect.ScheduleServiceStoreJobProcedure+"?%016x"+rpcHeader, message)
+	n.check(t)
+}
+
 // ticketMessage returns a message of the peer API with as many empty tickets as fit into size bytes.
 func ticketMessage(size int) []byte { return repeated(size, `{"tickets":[`, `{}`, `]}`) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -271,10 +271,18 @@
 func (n *Node) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(schedulev1connect.NewScheduleServiceHandler(
-		&scheduleServer{n.coordinator, n.frontend, n.manager.Holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor(), n.loads.interceptor())))
+		&scheduleServer{n.coordinator, n.frontend, n.manager.Holder}, connect.WithInterceptors(tracingInterceptor(), n.peers.interceptor(), n.loads.interceptor()),
+		connect.WithReadMaxBytes(maxInternalMessageBytes), withoutCompression()))
 	return mux
 }
 
+// maxInternalMessageBytes bounds the size of a message of another host. The largest holds a job, whose row has at most 64 KiB.
+const maxInternalMessageBytes = 1 << 20
+
+// withoutCompression refuses compressed messages, which may decompress to many times the room that was taken for them. Hosts send
+// none, and responses are too small to gain from it.
+func withoutCompression() connect.HandlerOption { return connect.WithCompression("gzip", nil, nil) }
+
 func adminHandler(t *telemetry.Telemetry) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
