Bound the due occurrences of a recurring job

What callers saw: one accepted job of 120 bytes with RepeatCount 300,000 whose occurrences were all due made the owner of 64 MB take 210 MiB. A larger count ends the process, and then each owner that takes over.

Cause: the owner makes all due occurrences tasks at once, in one step of its control goroutine, some 700 bytes each.

Ruled out: the row and the record of the job, which are small until occurrences are done; the rest of the crowd: it is one client.

Change: the core counts the memory of each job from the sizes of its structures. An occurrence becomes tasks only while those of its job take less than a sixteenth of the memory for jobs (job_memory_mb, by default 3/8 of the memory of the host), and while fewer than 1,000 are not done, so that the record of live ones fits into a row. One occurrence is always allowed. Further ones become due as others end.

Why it works: nothing is lost or refused, as the next occurrence is a number in the job.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -93,7 +93,9 @@
 	FirstSubmitted func(job string) (time.Duration, bool)
 	// PublishClosures is called several times a second with the queues that are closed, none as a rule. It must not block.
 	PublishClosures func([]scheduler.Closure)
-	Log             log.Interface
+	// JobMemory is the memory for jobs in bytes; 0 means no bound.
+	JobMemory int64
+	Log       log.Interface
 	Metrics         *Metrics
 	// MachineDelay is how long after a predecessor's order for a machine a new owner waits before it orders that machine.
 	MachineDelay time.Duration
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -120,6 +120,7 @@
 		log: opts.Log.WithField("epoch", term.Epoch),
 		core: scheduler.New(scheduler.Options{
 			Epoch: term.Epoch, Retention: opts.Retention, StopTimeout: opts.StopTimeout, IgnoreInterference: opts.IgnoreInterference,
+			JobMemory: opts.JobMemory,
 		}),
 		events:   make(chan any, eventBuffer),
 		queries:  make(chan func(*scheduler.Core)),
--- a/coordinator/metrics.go
+++ b/coordinator/metrics.go
@@ -30,6 +30,7 @@
 	returns       *prometheus.CounterVec
 	calledAhead   prometheus.Counter
 	closures      prometheus.Gauge
+	jobMemory     prometheus.Gauge
 	// countedWaits holds the totals of the core that waits already includes.
 	countedWaits map[scheduler.WaitCause]time.Duration
 	interference *interferenceMetrics
@@ -98,11 +99,14 @@
 		closures: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "tamarack_closures", Help: "Queues, or queues for one organisation, that refuse jobs.",
 		}),
+		jobMemory: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "tamarack_job_memory_bytes", Help: "Memory that the jobs which the owner knows take, as estimated from their steps and tasks.",
+		}),
 		countedWaits: make(map[scheduler.WaitCause]time.Duration),
 		interference: newInterferenceMetrics(r),
 	}
 	r.MustRegister(m.starts, m.ends, m.startTime, m.commitTime, m.commitRows, m.commitRetries, m.reports, m.eventsWaiting, m.passes, m.backlog, m.unplaced, m.lag, m.waits, m.machineTime,
-		m.loadedJobs, m.forecasts, m.returns, m.calledAhead, m.closures)
+		m.loadedJobs, m.forecasts, m.returns, m.calledAhead, m.closures, m.jobMemory)
 	return m
 }
 
@@ -140,6 +144,7 @@
 func (m *Metrics) observeCore(now time.Duration, core *scheduler.Core, waiting int, lag time.Duration) {
 	m.eventsWaiting.Set(float64(waiting))
 	m.lag.Set(lag.Seconds())
+	m.jobMemory.Set(float64(core.JobMemory()))
 	var sum int64
 	unplaced := 0
 	for _, d := range core.Demands(now) {
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -61,3 +61,11 @@
 	o.Listener, o.Connections, o.BodyBytes = name, x.connections/12, smallBodyBytes
 	return ingresslimit.New(o)
 }
+
+// jobMemory returns the memory for the jobs that the owner knows: what the settings say, or three eighths of the memory of the host.
+func jobMemory(s *settings.Node) int64 {
+	if s.JobMemoryMB > 0 {
+		return int64(s.JobMemoryMB) * mb
+	}
+	return int64(s.MemoryMB) * mb * 3 / 8
+}
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,7 @@
 		PublishClosures: func(closures []scheduler.Closure) {
 			n.loads.publish(frontend.QueueLoad{Closures: closures, Hosts: len(n.peers.live()) + 1})
 		},
-		Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
+		JobMemory: jobMemory(s), Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
 		IgnoreInterference: s.IgnoreInterference,
 	}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -15,6 +15,8 @@
 	Retention time.Duration
 	// StopTimeout is the longest time that a task may run after its stop was ordered.
 	StopTimeout time.Duration
+	// JobMemory is the memory for jobs in bytes, of which one recurring job takes a share at most; 0 means no bound.
+	JobMemory int64
 	// IgnoreInterference places long-running tasks without regard to their predicted interference, for comparison.
 	IgnoreInterference bool
 }
@@ -36,7 +38,9 @@
 	// routeHistory includes config as the last configuration.
 	routeHistory RouteHistory
 	jobs         map[string]*job
-	executors    map[string]*executor
+	// jobMemory is about how many bytes of memory the jobs take.
+	jobMemory int64
+	executors map[string]*executor
 	// members holds the executors of each service, ordered by ID.
 	members map[string][]*executor
 	// unreconciled holds the executors that may still run tasks for an earlier owner.
@@ -202,11 +206,13 @@
 			// Its runs may still be stopping, and count towards the cap of its organisation.
 			j.spec.Steps = spec.Steps
 		}
+		c.countMemory(j)
 		return nil
 	}
 	if spec.Recurrence == nil {
 		j.occurrence(0)
 	}
+	c.countMemory(j)
 	c.applyRoute(j)
 	if inherited && j.service == spec.Service && spec.ConfigVersion >= c.routeHistory.since(spec.Route) {
 		j.onlyService = spec.Service
@@ -275,6 +281,7 @@
 func (c *Core) finish(now time.Duration, j *job, status workload.Status) {
 	c.endWait(now, j)
 	j.status, j.finalAt = status, now
+	c.countMemory(j)
 	c.markRecordDirty(j)
 	delete(c.activeJobs[j.service], j)
 	for _, o := range j.occs {
@@ -332,6 +339,7 @@
 			return nil
 		}
 		o = j.occurrence(id.Occurrence)
+		c.countMemory(j)
 	}
 	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
 		return nil
@@ -355,6 +363,7 @@
 			j.doneOccs[k] = true
 		}
 	}
+	c.countMemory(j)
 	if len(j.doneOccs) >= total {
 		c.finish(now, j, workload.StatusCompleted)
 		c.addDecision(j.spec.ID, "job completed", j.logFields(now))
@@ -432,6 +441,9 @@
 // Forget drops jobs whose rows were removed.
 func (c *Core) Forget(expired []ExpiredJob) {
 	for _, x := range expired {
+		if j := c.jobs[x.Job]; j != nil {
+			c.jobMemory -= j.memory
+		}
 		delete(c.jobs, x.Job)
 		delete(c.pendingCancels, x.Job)
 	}
@@ -451,7 +463,11 @@
 			j.nextOcc++
 			continue
 		}
+		if !c.mayCreateOccurrence(j) {
+			return
+		}
 		j.occurrence(j.nextOcc)
+		c.countMemory(j)
 		c.dirtyServices[j.service] = true
 	}
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -238,6 +238,8 @@
 	domain failureDomain
 	// placedTasks is the number of its tasks on executors.
 	placedTasks int
+	// memory is what Core.jobMemory includes for the job, specMemory its part without occurrences and occurrenceMemory that of each one.
+	memory, specMemory, occurrenceMemory int64
 	// expiryQueued is set once the job is in Core.expired, so that its rows can be removed.
 	expiryQueued bool
 	// finalAt is when the job became final, or when it became known if it was final then.
--- a/settings/node.go
+++ b/settings/node.go
@@ -43,6 +43,8 @@
 	// IgnoreInterference places long-running tasks without regard to their predicted interference.
 	IgnoreInterference bool
 	Ingress            Ingress
+	// JobMemoryMB is the memory for accepted jobs in MiB; 0 means that it follows from MemoryMB.
+	JobMemoryMB int
 
 	Telemetry Telemetry
 }
@@ -97,6 +99,7 @@
 		Grace:          l.Duration("shutdown", "grace", 6*time.Second, time.Second, time.Hour),
 		LameDuck:       l.Duration("shutdown", "lame_duck", 2500*time.Millisecond, 0, time.Minute),
 		Ingress:        readIngress(l, "ingress"),
+		JobMemoryMB:    l.Int("ingress", "job_memory_mb", 0, 1, 1<<20),
 		Telemetry:      ReadTelemetry(l),
 
 		IgnoreInterference: !l.Bool("placement", "interference", true),
