Keep only what callers ask for of a job that has ended

What callers saw: nothing yet. The owner kept the payload and the steps of each ended job for two minutes, and of one that was cancelled or has failed also all tasks: a job of 20,000 tasks that is cancelled at once held 7 MB until then, and the next one 7 MB more.

Cause: ended jobs were dropped only when their retention was over, although a host that takes over keeps just their ID and state.

Ruled out: jobs whose tasks still run or stop; inherited jobs while executors of a former owner have not reported: both are kept whole.

Evidence: TestJobMemoryFollowsTheJobs on the code before: 6,786 of 6,786 bytes are kept after the end.

Change: each tick drops payload, occurrences and, for completed jobs, steps of jobs that are final, whose record was handed to a commit and that have no task on an executor. What is left is what AddJob keeps of a job that was final when it became known.

Why it works: the paths for such jobs exist and are tested: a run that shows up late is unwanted and stopped, and counts towards the cap of its organisation by the steps that stay.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -201,12 +201,7 @@
 	}
 	if j.status.Final() {
 		j.finalAt = now
-		j.spec = &workload.Job{ID: spec.ID}
-		if j.status != workload.StatusCompleted {
-			// Its runs may still be stopping, and count towards the cap of its organisation.
-			j.spec.Steps = spec.Steps
-		}
-		c.countMemory(j)
+		c.releaseEnded(j)
 		return nil
 	}
 	if spec.Recurrence == nil {
@@ -410,6 +405,9 @@
 				j.expiryQueued = true
 				c.expired = append(c.expired, ExpiredJob{j.spec.ID, j.version})
 			}
+			if !j.inherited || len(c.unreconciled) == 0 {
+				c.releaseEnded(j)
+			}
 		case j.spec.Recurrence != nil:
 			c.createDueOccurrences(now, j)
 		}
--- a/scheduler/footprint.go
+++ b/scheduler/footprint.go
@@ -67,6 +67,23 @@
 	j.memory = memory
 }
 
+// releaseEnded drops what is not needed any more of a job that has ended and has no task on an executor.
+func (c *Core) releaseEnded(j *job) {
+	if j.released || j.dirty || j.placedTasks > 0 {
+		return
+	}
+	j.released = true
+	spec := &workload.Job{ID: j.spec.ID}
+	if j.status != workload.StatusCompleted {
+		// Its runs may still be stopping, and count towards the cap of its organisation.
+		spec.Steps = j.spec.Steps
+	}
+	j.spec = spec
+	clear(j.occs)
+	j.specMemory = 0
+	c.countMemory(j)
+}
+
 // mayCreateOccurrence reports whether a further occurrence of a recurring job may become tasks while others of it are not done.
 func (c *Core) mayCreateOccurrence(j *job) bool {
 	live := int64(len(j.occs))
--- a/scheduler/footprint_test.go
+++ b/scheduler/footprint_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,36 @@
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
+// Guards against a memory of jobs that drifts from the jobs, and against keeping the steps and payloads of jobs that have ended.
+func TestJobMemoryFollowsTheJobs(t *testing.T) {
+	h := newHarness(t, 1)
+	payload := fmt.Sprintf("%4000d", 1)
+	for id, outcome := range map[string]workload.End{"done": workload.EndDone, "cancelled": workload.EndStopped} {
+		spec := &workload.Job{ID: id, Route: "queue", Service: service, Payload: payload, Steps: []workload.Step{batchStep(3, 1000)}}
+		before, footprint := h.core.JobMemory(), Footprint(spec)
+		assert.NilError(t, h.core.AddJob(h.now, spec, nil, 0, false))
+		assert.Equal(t, h.core.JobMemory()-before, footprint)
+		h.advance(time.Millisecond)
+		if id == "cancelled" {
+			h.core.Cancel(h.now, id)
+			h.runCommands()
+			h.core.Tick(h.now, 0)
+			assert.Equal(t, h.core.JobMemory()-before, footprint, "its tasks still run")
+		}
+		for n := range 3 {
+			h.end(taskID(id, 0, n), outcome)
+		}
+		assert.Assert(t, h.core.jobs[id].status.Final())
+		commit := h.core.TakeCommit(10)
+		h.core.Committed(commit, 1)
+		h.core.Tick(h.now, 0)
+		assert.Assert(t, h.core.JobMemory()-before < footprint/2, "%d of %d bytes are kept", h.core.JobMemory()-before, footprint)
+		assert.Equal(t, h.core.jobs[id].spec.Payload, "")
+	}
+	h.core.Forget([]ExpiredJob{{Job: "done"}, {Job: "cancelled"}, {Job: "unknown"}})
+	assert.Equal(t, h.core.JobMemory(), int64(0))
+}
+
 // Guards against a recurring job whose due occurrences take any amount of memory, and against losing those that wait.
 func TestDueOccurrencesWaitForEarlierOnes(t *testing.T) {
 	h := newHarness(t, 1)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -240,6 +240,8 @@
 	placedTasks int
 	// memory is what Core.jobMemory includes for the job, specMemory its part without occurrences and occurrenceMemory that of each one.
 	memory, specMemory, occurrenceMemory int64
+	// released is set once only what callers may still ask for is kept of a job that has ended.
+	released bool
 	// expiryQueued is set once the job is in Core.expired, so that its rows can be removed.
 	expiryQueued bool
 	// finalAt is when the job became final, or when it became known if it was final then.
