Refuse jobs for which the owner has no memory

What callers saw: 2,400 jobs of 13 KB with 256 steps, or 64 jobs of 80 bytes with 20,000 tasks, all accepted, made the owner of 64 MB take 476 and 461 MiB. On the users' platform it is killed, and so is each host that takes over, since the jobs are stored.

Cause: nothing bounds accepted jobs. A waiting job takes some 690 bytes for each step with a task, 320 for each further task.

Ruled out: bodies in progress (16 clients, 80 bytes); calls to the store, which answer at once; ended jobs, of which there are none.

Change: job_memory_mb bounds what accepted jobs take on the owner, by default 3/8 of the memory of the host and at most 96 MB. The owner tells all hosts how much is left in a header of responses that it sends anyway; each host hands out half of its part and then asks the owner to reserve room, in a header of a query that exists. A job without room gets 429 if it is certain that no attempt has stored it, as for a closed queue, else 504. A quarter is kept for small jobs. While no owner answers, a host accepts a thirty-second and then refuses.

Why it works: all memory that a job will take follows from its body, so it is known before it is stored. What hosts hand out without asking is half of what is left, less what the owner may not know of yet.

--- a/coordinator/closures.go
+++ b/coordinator/closures.go
@@ -46,6 +46,13 @@
 	l.opts.PublishClosures(closures)
 }
 
+// publishRoom tells Options.PublishRoom how much memory is left for jobs, unless the ownership is not confirmed.
+func (l *leadership) publishRoom(now time.Duration) {
+	if room, ok := l.core.JobRoom(now); ok && l.opts.PublishRoom != nil && l.opts.OwnsJobs() {
+		l.opts.PublishRoom(room)
+	}
+}
+
 // logClosures logs which queues were closed and opened since the last call.
 func (l *leadership) logClosures(closures []scheduler.Closure) {
 	logged := make(map[closedFor]bool, len(closures))
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -93,10 +93,12 @@
 	FirstSubmitted func(job string) (time.Duration, bool)
 	// PublishClosures is called several times a second with the queues that are closed, none as a rule. It must not block.
 	PublishClosures func([]scheduler.Closure)
-	// JobMemory is the memory for jobs in bytes; 0 means no bound.
-	JobMemory int64
-	Log       log.Interface
-	Metrics         *Metrics
+	// JobMemory is the memory for jobs in bytes; 0 means no bound. PublishRoom is called several times a second with how much of it is
+	// left. It must not block.
+	JobMemory   int64
+	PublishRoom func(bytes int64)
+	Log         log.Interface
+	Metrics     *Metrics
 	// MachineDelay is how long after a predecessor's order for a machine a new owner waits before it orders that machine.
 	MachineDelay time.Duration
 	// Retention is how long finished jobs are kept, in memory and in the store.
@@ -180,3 +182,12 @@
 	}
 	return n, nil
 }
+
+// ReserveJob reports whether this owner has room for a job with a footprint in bytes, and keeps it for some seconds.
+func (c *Coordinator) ReserveJob(ctx context.Context, id string, bytes int64) (bool, error) {
+	var reserved bool
+	if err := c.query(ctx, func(core *scheduler.Core) { reserved = core.ReserveJob(c.opts.Now(), id, bytes) }); err != nil {
+		return false, err
+	}
+	return reserved, nil
+}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -166,6 +166,7 @@
 			l.dropGoneExecutors()
 			l.planMachines(now)
 			l.publishClosures(now)
+			l.publishRoom(now)
 			l.purge(now)
 			l.opts.Metrics.observeCore(now, l.core, len(l.events), l.lag.Value())
 		}
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -110,6 +110,8 @@
 	ConfirmRefusal(ctx context.Context, id string) (bool, error)
 	// ReportUncertain tells the owner that an attempt of this host may have stored a job.
 	ReportUncertain(ctx context.Context, id string) error
+	// ReserveJob reports whether the owner has room for a job with a footprint in bytes, or knows the job.
+	ReserveJob(ctx context.Context, id string, bytes int64) (bool, error)
 	JobStatus(ctx context.Context, id string) (status workload.Status, known bool, err error)
 	QueueLength(ctx context.Context, route string) (int, error)
 }
@@ -146,7 +148,10 @@
 	ReadConfiguration func(ctx context.Context) error
 	// MaxConfigurationAge is how long after the configuration was last known to be the newest requests are refused by it.
 	MaxConfigurationAge time.Duration
-	Metrics             *Metrics
+	// UnconfirmedJobMemory bounds the footprints, in bytes, of the jobs that this host stores while the owner does not tell how much room
+	// it has; 0 means that the room is not bounded.
+	UnconfirmedJobMemory int64
+	Metrics              *Metrics
 }
 
 // Frontend handles the requests of callers. It is safe for concurrent use.
@@ -159,6 +164,7 @@
 	// submitted holds the submissions that this host, or another one that asked it to store them, did not accept.
 	submitted submissions
 	closures  closures
+	room      jobRoom
 }
 
 // indexedConfiguration is a configuration with an index of its API keys.
@@ -330,6 +336,9 @@
 	if result, refused := f.refuse(ctx, job, start); refused {
 		return result
 	}
+	if result, refused := f.refuseForMemory(ctx, job, start); refused {
+		return result
+	}
 	job.AcceptedUnixMS = f.opts.WallMS()
 	value, err := json.Marshal(job)
 	if err != nil {
--- a/frontend/frontend_test.go
+++ b/frontend/frontend_test.go
@@ -27,6 +27,8 @@
 	unreachable bool
 	// frontend, if set, is that of the owner's host, which stores the jobs.
 	frontend *Frontend
+	// full is set if the owner has no room for jobs.
+	full bool
 }
 
 func (o *fakeOwner) JobStatus(context.Context, string) (workload.Status, bool, error) {
@@ -67,6 +69,13 @@
 	return nil
 }
 
+func (o *fakeOwner) ReserveJob(context.Context, string, int64) (bool, error) {
+	if o.unreachable {
+		return false, rowstore.ErrUnavailable
+	}
+	return !o.full, nil
+}
+
 func (o *fakeOwner) StoreCancel(context.Context, string) error { return rowstore.ErrUnavailable }
 
 // fixture is a frontend with an in-memory store, a fake owner and a configuration of two routes.
--- a/internal/ingresscheck/whole_test.go
+++ b/internal/ingresscheck/whole_test.go
@@ -80,7 +80,7 @@
 // waves is how many requests each client of a crowd sends, one after another.
 const waves = 4
 
-// Guards against steps that are all decoded before their number is checked: three bytes turn into some 200.
+// Guards against steps that are all decoded before their number is checked: three bytes turn into 160.
 func TestNodeBodiesOfManySteps(t *testing.T) {
 	n := startNode(t)
 	wholeCrowd{clients: crowdSize, requests: waves}.send(t, n.callers, submission, repeated(nodeBodyBytes, `{"Spec":"x","Steps":[`, `{}`, `]}`))
--- a/node/ingress.go
+++ b/node/ingress.go
@@ -62,10 +62,18 @@
 	return ingresslimit.New(o)
 }
 
-// jobMemory returns the memory for the jobs that the owner knows: what the settings say, or three eighths of the memory of the host.
+// unconfirmedShare is the share of the memory for jobs that a host hands out while the owner does not tell how much is left: one of this
+// number.
+const unconfirmedShare = 32
+
+// maxJobMemory bounds the default of the memory for jobs, so that a smaller host of the same deployment can take over.
+const maxJobMemory = 96 * mb
+
+// jobMemory returns the memory for the jobs that the owner knows: what the settings say, or three eighths of the memory of the host up to
+// maxJobMemory.
 func jobMemory(s *settings.Node) int64 {
 	if s.JobMemoryMB > 0 {
 		return int64(s.JobMemoryMB) * mb
 	}
-	return int64(s.MemoryMB) * mb * 3 / 8
+	return min(int64(s.MemoryMB)*mb*3/8, maxJobMemory)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -128,7 +128,9 @@
 		PublishClosures: func(closures []scheduler.Closure) {
 			n.loads.publish(frontend.QueueLoad{Closures: closures, Hosts: len(n.peers.live()) + 1})
 		},
-		JobMemory: jobMemory(s), Log: t.Log, Metrics: coordinator.NewMetrics(t.Registry),
+		JobMemory:   jobMemory(s),
+		PublishRoom: func(bytes int64) { n.loads.publishRoom(bytes, len(n.peers.live())+1) },
+		Log:         t.Log, Metrics: coordinator.NewMetrics(t.Registry),
 		MachineDelay: s.MachineLease, Retention: s.StatusKept, StopTimeout: s.StopTimeout, MaxLease: s.MaxLease,
 		IgnoreInterference: s.IgnoreInterference,
 	}
@@ -137,7 +139,8 @@
 	}
 	n.coordinator = coordinator.New(options)
 	n.peers = newPeers(peer{name: s.ID, dataCentre: s.DataCentre, cpuShare: s.CPUShare}, elapsed.Now, contact.Answered)
-	n.loads = &queueLoads{now: elapsed.Now, received: func(load frontend.QueueLoad) { n.frontend.UpdateLoad(load) }}
+	n.loads = &queueLoads{now: elapsed.Now, received: func(load frontend.QueueLoad) { n.frontend.UpdateLoad(load) },
+		receivedRoom: func(bytes int64, hosts int) { n.frontend.UpdateRoom(bytes, hosts) }}
 	owner := newOwnerClient(n.coordinator, func() string { return n.manager.OwnerAddress() }, s.InternalListen, n.peers, n.loads)
 	n.manager = ownership.New(ownership.Options{
 		Store: n.store, Holder: newHolder(), NewHolder: newHolder, Name: s.ID, Address: s.InternalListen, Preference: min(s.CPUShare, 1),
@@ -149,7 +152,7 @@
 		Store: n.store, Owner: owner,
 		Log: t.Log, WallMS: wallMS, Now: elapsed.Now, StoreResponsive: n.storeResponsive,
 		ReadConfiguration: n.readConfiguration, MaxConfigurationAge: time.Duration(maxConfigAgeShare * float64(s.ConfigApply)),
-		Metrics: frontend.NewMetrics(t.Registry),
+		UnconfirmedJobMemory: jobMemory(s) / unconfirmedShare, Metrics: frontend.NewMetrics(t.Registry),
 	})
 	return n
 }
--- a/node/owner.go
+++ b/node/owner.go
@@ -194,9 +194,13 @@
 		return nil, coordinatorRPCError(err)
 	}
 	resp := connect.NewResponse(&schedulev1.JobStatusResponse{Known: known, Status: string(status)})
-	if !known {
-		s.answerRefusal(r, resp)
+	if known {
+		return resp, nil
 	}
+	if err := s.answerReserve(ctx, r, resp); err != nil {
+		return nil, err
+	}
+	s.answerRefusal(r, resp)
 	return resp, nil
 }
 
--- a/node/queueload.go
+++ b/node/queueload.go
@@ -28,6 +28,13 @@
 	refusalAsked     = "asked"
 	refusalConfirmed = "confirmed"
 	refusalForbidden = "forbidden"
+	// jobRoomHeader is the header of responses in which the owner says how many bytes of memory it has left for jobs, and how many hosts
+	// share them. It is absent on hosts that do not own the jobs.
+	jobRoomHeader = "Tamarack-Job-Room"
+	// reserveHeader asks the owner, in a query for the status of a job, for room for the job, in bytes. The response says whether there is.
+	reserveHeader = "Tamarack-Job-Reserve"
+	reserved      = "reserved"
+	noRoom        = "no-room"
 	// maxQueueLoadBytes and maxClosures bound the header. Closures beyond them are left out; their jobs are accepted.
 	maxQueueLoadBytes = 1000
 	maxClosures       = 20
@@ -44,11 +51,14 @@
 type queueLoads struct {
 	now      func() time.Duration
 	received func(frontend.QueueLoad)
+	// receivedRoom is called with the room for jobs; see frontend.Frontend.UpdateRoom.
+	receivedRoom func(bytes int64, hosts int)
 
 	mu          sync.Mutex
 	header      string
 	published   bool
 	publishedAt time.Duration
+	room        string
 }
 
 // publish is called on the host of the owner with the load that it decided now.
@@ -67,6 +77,32 @@
 	return q.header, q.published && q.now()-q.publishedAt <= maxQueueLoadAge
 }
 
+// publishRoom is called on the host of the owner with the room for jobs that it has now.
+func (q *queueLoads) publishRoom(bytes int64, hosts int) {
+	q.receivedRoom(bytes, hosts)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.room = strconv.FormatInt(bytes, 10) + "," + strconv.Itoa(hosts)
+}
+
+// currentRoom returns jobRoomHeader of responses. It holds as long as the load does.
+func (q *queueLoads) currentRoom() (string, bool) {
+	_, ok := q.current()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.room, ok && q.room != ""
+}
+
+// receiveRoom passes the value of a jobRoomHeader on. A malformed one is ignored like an absent one, and what the host knows expires.
+func (q *queueLoads) receiveRoom(value string) {
+	bytesField, hostsField, _ := strings.Cut(value, ",")
+	bytes, err := strconv.ParseInt(bytesField, 10, 64)
+	hosts, hostsErr := strconv.Atoi(hostsField)
+	if err == nil && hostsErr == nil && hosts > 0 {
+		q.receivedRoom(bytes, hosts)
+	}
+}
+
 // interceptor adds the load to responses to other hosts, and passes the load in responses of the owner on.
 func (q *queueLoads) interceptor() connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
@@ -79,8 +115,14 @@
 				if header, ok := q.current(); ok {
 					resp.Header().Set(queueLoadHeader, header)
 				}
+				if room, ok := q.currentRoom(); ok {
+					resp.Header().Set(jobRoomHeader, room)
+				}
 				return resp, nil
 			}
+			if values := resp.Header().Values(jobRoomHeader); len(values) == 1 {
+				q.receiveRoom(values[0])
+			}
 			if values := resp.Header().Values(queueLoadHeader); len(values) == 1 {
 				// A malformed header is ignored like an absent one, and what the host knows expires.
 				if load, err := decodeQueueLoad(values[0]); err == nil {
@@ -183,7 +225,7 @@
 	if !errors.Is(err, coordinator.ErrNotOwner) {
 		return err == nil && !known, err
 	}
-	resp, err := o.queryRefusal(ctx, id, refusalAsked)
+	resp, err := o.queryJob(ctx, id, refusalHeader, refusalAsked)
 	if err != nil {
 		return false, err
 	}
@@ -195,21 +237,56 @@
 	if _, _, err := o.localCoordinator.JobStatus(ctx, id); !errors.Is(err, coordinator.ErrNotOwner) {
 		return err
 	}
-	_, err := o.queryRefusal(ctx, id, refusalForbidden)
+	_, err := o.queryJob(ctx, id, refusalHeader, refusalForbidden)
 	return err
 }
 
-// queryRefusal queries the status of a job from the owner on another host, with a value of refusalHeader.
-func (o *ownerClient) queryRefusal(ctx context.Context, id, value string) (*connect.Response[schedulev1.JobStatusResponse], error) {
+// ReserveJob implements frontend.Owner. An owner of a former version answers without the header and has no bound.
+func (o *ownerClient) ReserveJob(ctx context.Context, id string, bytes int64) (bool, error) {
+	granted, err := o.localCoordinator.ReserveJob(ctx, id, bytes)
+	if !errors.Is(err, coordinator.ErrNotOwner) {
+		return granted, err
+	}
+	resp, err := o.queryJob(ctx, id, reserveHeader, strconv.FormatInt(bytes, 10))
+	if err != nil {
+		return false, err
+	}
+	return resp.Header().Get(reserveHeader) != noRoom, nil
+}
+
+// queryJob queries the status of a job from the owner on another host, with a header.
+func (o *ownerClient) queryJob(ctx context.Context, id, header, value string) (*connect.Response[schedulev1.JobStatusResponse], error) {
 	c, err := o.remoteOwner()
 	if err != nil {
 		return nil, err
 	}
 	r := connect.NewRequest(&schedulev1.JobStatusRequest{Job: id})
-	r.Header().Set(refusalHeader, value)
+	r.Header().Set(header, value)
 	return c.JobStatus(ctx, r)
 }
 
+// answerReserve handles the reserveHeader in a query for the status of a job that the owner does not know.
+func (s *scheduleServer) answerReserve(ctx context.Context, r *connect.Request[schedulev1.JobStatusRequest], resp *connect.Response[schedulev1.JobStatusResponse]) error {
+	value := r.Header().Get(reserveHeader)
+	if value == "" {
+		return nil
+	}
+	bytes, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || bytes < 0 {
+		return connect.NewError(connect.CodeInvalidArgument, errors.Errorf("node: header %s is not a number of bytes", reserveHeader))
+	}
+	granted, err := s.coordinator.ReserveJob(ctx, r.Msg.Job, bytes)
+	if err != nil {
+		return coordinatorRPCError(err)
+	}
+	answer := reserved
+	if !granted {
+		answer = noRoom
+	}
+	resp.Header().Set(reserveHeader, answer)
+	return nil
+}
+
 // answerRefusal handles the refusalHeader in a query for the status of a job that the owner does not know.
 func (s *scheduleServer) answerRefusal(r *connect.Request[schedulev1.JobStatusRequest], resp *connect.Response[schedulev1.JobStatusResponse]) {
 	switch r.Header().Get(refusalHeader) {
--- a/node/queueload_test.go
+++ b/node/queueload_test.go
@@ -90,6 +90,41 @@
 	assert.DeepEqual(t, received, []int{2, 0})
 }
 
+// Guards against room that a host without the jobs tells, and against a malformed header that counts as one.
+func TestOnlyTheOwnerTellsTheRoom(t *testing.T) {
+	type room struct {
+		Bytes int64
+		Hosts int
+	}
+	now := time.Second
+	var received []room
+	newLoads := func() *queueLoads {
+		return &queueLoads{
+			now: func() time.Duration { return now }, received: func(frontend.QueueLoad) {},
+			receivedRoom: func(bytes int64, hosts int) { received = append(received, room{bytes, hosts}) },
+		}
+	}
+	owner, host := newLoads(), newLoads()
+	_, handler := schedulev1connect.NewScheduleServiceHandler(&scheduleServer{holder: func() string { return "h" }}, connect.WithInterceptors(owner.interceptor()))
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	c := schedulev1connect.NewScheduleServiceClient(server.Client(), server.URL, connect.WithInterceptors(host.interceptor()))
+	call := func() {
+		_, err := c.Holder(t.Context(), connect.NewRequest(&schedulev1.HolderRequest{}))
+		assert.NilError(t, err)
+	}
+	call()
+	owner.publish(frontend.QueueLoad{})
+	owner.publishRoom(-7, 3)
+	call()
+	now += maxQueueLoadAge + 1
+	call()
+	for _, malformed := range []string{"", "7", "7,0", "7,x", "x,3", "7,3,1"} {
+		host.receiveRoom(malformed)
+	}
+	assert.DeepEqual(t, received, []room{{-7, 3}, {-7, 3}})
+}
+
 // unknowingOwner is an owner that knows no job and answers for its frontend.
 type unknowingOwner struct{ scheduleServer }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -15,7 +15,7 @@
 	Retention time.Duration
 	// StopTimeout is the longest time that a task may run after its stop was ordered.
 	StopTimeout time.Duration
-	// JobMemory is the memory for jobs in bytes, of which one recurring job takes a share at most; 0 means no bound.
+	// JobMemory is the memory for jobs in bytes; 0 means no bound. See JobRoom and ReserveJob.
 	JobMemory int64
 	// IgnoreInterference places long-running tasks without regard to their predicted interference, for comparison.
 	IgnoreInterference bool
@@ -40,7 +40,10 @@
 	jobs         map[string]*job
 	// jobMemory is about how many bytes of memory the jobs take.
 	jobMemory int64
-	executors map[string]*executor
+	// reservations hold room for jobs that are being stored, reserved is their sum.
+	reservations map[string]roomReservation
+	reserved     int64
+	executors    map[string]*executor
 	// members holds the executors of each service, ordered by ID.
 	members map[string][]*executor
 	// unreconciled holds the executors that may still run tasks for an earlier owner.
@@ -100,7 +103,7 @@
 func New(opts Options) *Core {
 	return &Core{
 		opts: opts, config: &workload.Configuration{},
-		jobs: make(map[string]*job), executors: make(map[string]*executor), members: make(map[string][]*executor),
+		jobs: make(map[string]*job), reservations: make(map[string]roomReservation), executors: make(map[string]*executor), members: make(map[string][]*executor),
 		unreconciled: make(map[string]unreconciled), pendingCancels: make(map[string]bool),
 		activeJobs: make(map[string]map[*job]struct{}), dirtyServices: make(map[string]bool), arrivedWork: make(map[string]int64), unplaced: make(map[string]int),
 		cordonedFits: make(map[string]cordonedFit), waitClocks: make(map[string]*waitClock),
--- a/scheduler/footprint.go
+++ b/scheduler/footprint.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"time"
 	"unsafe"
 
 	"github.com/tamarackworks/tamarackworks/workload"
@@ -92,3 +93,52 @@
 	}
 	return live < maxLiveOccurrences && (live+1)*j.occurrenceMemory <= c.opts.JobMemory/maxOccurrenceShare
 }
+
+const (
+	// smallJobBytes is the largest footprint of a job that may use the reserve for small jobs.
+	smallJobBytes = 64 << 10
+	// smallJobShare is the share of the memory for jobs that only small ones may use: one of this number.
+	smallJobShare = 4
+	// reservationTTL is how long room is kept for a job that a host stores.
+	reservationTTL = 5 * time.Second
+)
+
+// roomReservation is the room that is kept for a job that is being stored.
+type roomReservation struct {
+	bytes int64
+	until time.Duration
+}
+
+// JobRoom returns how many bytes of memory are left for jobs of any size; a negative value means that even the reserve for small ones is
+// in use. ok is false if the memory for jobs has no bound.
+func (c *Core) JobRoom(now time.Duration) (bytes int64, ok bool) {
+	if c.opts.JobMemory <= 0 {
+		return 0, false
+	}
+	for id, r := range c.reservations {
+		if now >= r.until || c.jobs[id] != nil {
+			c.reserved -= r.bytes
+			delete(c.reservations, id)
+		}
+	}
+	return c.opts.JobMemory - c.opts.JobMemory/smallJobShare - c.jobMemory - c.reserved, true
+}
+
+// ReserveJob reports whether there is room for a job with a footprint, and keeps it until the job is known or reservationTTL is over. A job
+// that is known has its room. One job alone may exceed the bound.
+func (c *Core) ReserveJob(now time.Duration, id string, bytes int64) bool {
+	room, bounded := c.JobRoom(now)
+	_, repeated := c.reservations[id]
+	if !bounded || repeated || c.jobs[id] != nil {
+		return true
+	}
+	if bytes <= smallJobBytes {
+		room += c.opts.JobMemory / smallJobShare
+	}
+	if bytes > room && len(c.jobs)+len(c.reservations) > 0 {
+		return false
+	}
+	c.reservations[id] = roomReservation{bytes, now + reservationTTL}
+	c.reserved += bytes
+	return true
+}
--- a/scheduler/footprint_test.go
+++ b/scheduler/footprint_test.go
@@ -63,3 +63,32 @@
 	h.core.Tick(h.now, 1)
 	assert.Equal(t, len(h.core.jobs["unbounded"].occs), maxLiveOccurrences)
 }
+
+// Guards against accepting jobs without room, against large jobs that leave none for small ones, and against room that stays reserved.
+func TestRoomForJobs(t *testing.T) {
+	h := newHarness(t, 0)
+	assert.Assert(t, h.core.ReserveJob(h.now, "x", 1<<40), "no bound is set")
+	_, bounded := h.core.JobRoom(h.now)
+	assert.Assert(t, !bounded)
+
+	const memory = 1 << 20
+	h.core.opts.JobMemory = memory
+	assert.Assert(t, h.core.ReserveJob(h.now, "alone", 1<<40), "one job alone may exceed the bound")
+	assert.Assert(t, !h.core.ReserveJob(h.now, "next", 1))
+	assert.Assert(t, h.core.ReserveJob(h.now, "alone", 1<<40), "it is reserved")
+	h.now += reservationTTL
+	room, _ := h.core.JobRoom(h.now)
+	assert.Equal(t, room, int64(memory-memory/smallJobShare))
+
+	assert.Assert(t, h.core.ReserveJob(h.now, "large", room))
+	assert.Assert(t, !h.core.ReserveJob(h.now, "second", smallJobBytes+1))
+	for n := range memory / smallJobShare / smallJobBytes {
+		assert.Assert(t, h.core.ReserveJob(h.now, fmt.Sprintf("small%d", n), smallJobBytes))
+	}
+	assert.Assert(t, !h.core.ReserveJob(h.now, "small", 1))
+
+	h.addJob("large", batchStep(1, 1000))
+	room, _ = h.core.JobRoom(h.now)
+	assert.Equal(t, room, int64(memory-memory/smallJobShare)-memory/smallJobShare-h.core.JobMemory(), "a job that is known needs no reservation")
+	assert.Assert(t, h.core.ReserveJob(h.now, "large", 1<<40))
+}
