Close connections of callers that do not read their responses

What callers saw: after 400 clients had sent a request of 900 KiB and read nothing, an entry host answered every request with a large body with 503 'no room for the body', for as long as these clients stayed connected. Each of them cost one request.

Cause: the room of a body is taken until its handler returns, and the handler writes the response without any deadline. A client that reads nothing stops it once the buffers of the kernel are full.

With bodies of 31 KiB the responses fit into the buffers and nothing was held up.

The target of the tests escapes the text that it returns, so responses have 5.4 MB. The test lowers read_timeout to 2 s.

Change: responses to callers are written in parts of 64 KiB, each of which the caller must take within read_timeout (30 s by default, no new setting). Responses about jobs go the same way.

Why it works: a part that is not taken ends the write with an error, the handler returns, and the room is free.

What the responses of targets take is still not counted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -163,7 +163,8 @@
 		Tokens: a.callers, Ready: a.controller.Ready,
 		DefaultDeadline: a.settings.Limits.DefaultDeadline, LameDuck: a.settings.LameDuck,
 		MaxBodyBytes: int64(a.settings.Limits.MaxBodyBytes), MaxDeadline: a.settings.Limits.MaxDeadline,
-		Log: a.log, Registerer: a.telemetry.Registry,
+		ResponseTimeout: a.settings.Limits.ReadTimeout,
+		Log:             a.log, Registerer: a.telemetry.Registry,
 	})
 	if err != nil {
 		return err
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -62,10 +62,14 @@
 			writeError(w, s.jobError(err))
 			return
 		}
+		body, err := json.Marshal(job)
+		if err != nil {
+			writeError(w, s.jobError(err))
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
-		// A failed write means that the caller closed the connection; the job is stored and can be read later.
-		_ = json.NewEncoder(w).Encode(job)
+		s.writeBody(w, append(body, '\n'))
 	}
 }
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -29,6 +29,8 @@
 	DefaultMaxDeadline = 10 * time.Minute
 	// DefaultDeadline applies when neither the caller nor the service sets a deadline.
 	DefaultDeadline = 30 * time.Second
+	// DefaultResponseTimeout is the default of Options.ResponseTimeout.
+	DefaultResponseTimeout = 30 * time.Second
 	// DefaultMaxAttempts bounds the attempts of one request.
 	DefaultMaxAttempts = 3
 	// AnonymousCaller is the caller when no tokens are configured.
@@ -56,6 +58,8 @@
 	MaxDeadline      time.Duration
 	DefaultDeadline  time.Duration
 	MaxAttempts      int
+	// ResponseTimeout bounds the time in which a caller receives each part of a response.
+	ResponseTimeout time.Duration
 	// LameDuck is how long Drain still accepts requests while the server reports that it is not ready.
 	LameDuck time.Duration
 
@@ -78,6 +82,9 @@
 	if o.DefaultDeadline <= 0 {
 		o.DefaultDeadline = DefaultDeadline
 	}
+	if o.ResponseTimeout <= 0 {
+		o.ResponseTimeout = DefaultResponseTimeout
+	}
 	if o.MaxAttempts <= 0 {
 		o.MaxAttempts = DefaultMaxAttempts
 	}
@@ -290,8 +297,27 @@
 	setIfPresent(h, "Retry-After", resp.response.retryAfter)
 	h.Set("Content-Length", strconv.Itoa(len(resp.response.body)))
 	w.WriteHeader(resp.status)
-	// A failed write means that the caller closed the connection; the outcome is already recorded.
-	_, _ = w.Write(resp.response.body)
+	s.writeBody(w, resp.response.body)
+}
+
+// responsePart is the part of a response that a caller must receive within Options.ResponseTimeout.
+const responsePart = 64 << 10
+
+// writeBody writes the body of a response. A caller that does not receive it is cut off, because the request and the response are in memory
+// until then.
+func (s *Server) writeBody(w http.ResponseWriter, body []byte) {
+	control := http.NewResponseController(w)
+	for len(body) > 0 {
+		// If the connection does not support write deadlines, the timeouts of its HTTP server apply.
+		_ = control.SetWriteDeadline(time.Now().Add(s.opts.ResponseTimeout))
+		n, err := w.Write(body[:min(len(body), responsePart)])
+		if err != nil {
+			// The caller closed the connection or does not read; the outcome is already recorded.
+			return
+		}
+		body = body[n:]
+	}
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
 func setIfPresent(h http.Header, name, value string) {
--- a/internal/ingresscheck/entry_test.go
+++ b/internal/ingresscheck/entry_test.go
@@ -30,16 +30,19 @@
 }
 
 // startEntry starts a fleet of one tamarackd and one target, which serves requests.
-func startEntry(t *testing.T) *testEntry { return startEntryOn(t, 0) }
+func startEntry(t *testing.T) *testEntry { return startEntryWith(t, 0, 0) }
 
-// startEntryOn starts the same with the memory of the host in the settings; 0 leaves the default.
-func startEntryOn(t *testing.T, memoryMB int) *testEntry {
+// startEntryOn starts the same with the memory of the host in the settings.
+func startEntryOn(t *testing.T, memoryMB int) *testEntry { return startEntryWith(t, memoryMB, 0) }
+
+// startEntryWith starts the same with further settings; 0 leaves the default.
+func startEntryWith(t *testing.T, memoryMB int, readTimeout time.Duration) *testEntry {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
 	fleet, err := localfleet.Start(ctx, localfleet.Options{
 		BinDir: binDir, Dir: t.TempDir(), DataCentres: []string{"dc1"}, EntriesPerDC: 1, TargetsPerDC: 1,
-		Services: []string{"match"}, MaxUnavailable: 1, ListLag: 100 * time.Millisecond, RebootTime: time.Second, MemoryMB: memoryMB,
+		Services: []string{"match"}, MaxUnavailable: 1, ListLag: 100 * time.Millisecond, RebootTime: time.Second, MemoryMB: memoryMB, ReadTimeout: readTimeout,
 	})
 	assert.NilError(t, err)
 	e := &testEntry{Entry: fleet.Entries[0], fleet: fleet}
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -67,8 +67,9 @@
 	FixedPools bool
 	// LogLevel is the log level of the entry hosts; "info" if empty.
 	LogLevel string
-	// MemoryMB is the memory of the entry hosts in their settings; 0 leaves it out.
-	MemoryMB int
+	// MemoryMB is the memory of the entry hosts in their settings, ReadTimeout their read timeout; 0 leaves them out.
+	MemoryMB    int
+	ReadTimeout time.Duration
 }
 
 // Entry is an entry host: its process, its identity and the addresses of its listeners.
@@ -253,9 +254,12 @@
 	if level == "" {
 		level = "info"
 	}
-	limits := ""
+	limits := "[limits]\n"
 	if f.opts.MemoryMB > 0 {
-		limits = fmt.Sprintf("[limits]\nmemory_mb = %d\n", f.opts.MemoryMB)
+		limits += fmt.Sprintf("memory_mb = %d\n", f.opts.MemoryMB)
+	}
+	if f.opts.ReadTimeout > 0 {
+		limits += fmt.Sprintf("read_timeout = %s\n", f.opts.ReadTimeout)
 	}
 	return fmt.Sprintf(`[entry]
 id = %s
