Set a soft memory limit in tamarackd

Cause: the runtime let the heap grow to twice what was live, whatever the memory of the host. tamarack-node sets a soft limit, tamarackd did not.

Ruled out: what is live, which the limits of bodies bound; the process stays far below once the collector runs.

Change: 0.7 of memory_mb is the soft memory limit of the runtime, as in tamarack-node.

Why it works: near the limit the collector runs more often instead of letting the heap grow; below it nothing changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -64,8 +65,13 @@
 	callers map[string]string
 }
 
+// memoryLimitShare is the share of the host's memory that becomes the soft memory limit of the Go runtime, near which the garbage
+// collector runs more often.
+const memoryLimitShare = 0.7
+
 // New creates the services of an entry host and registers them in k, in the order in which they start.
 func New(k *kernel.Kernel, s *settings.Entry, t *telemetry.Telemetry) error {
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB) * mb))
 	a := &Agent{settings: s, telemetry: t, log: t.Log, incarnation: uuid.NewString(), limits: newIngressLimits(s, t)}
 	steps := []func(*kernel.Kernel) error{
 		a.addCredentials, a.addPlatform, a.addReplica, a.addRouting, a.addClaims, a.addControl,
