Bound headers on every listener

What callers saw: 100 clients that sent requests with a header of 512 KiB to the internal, ready and admin listeners, four times each, made a tamarack-node of 64 MB take 225 MiB.

Cause: only the listeners for callers, operators and admin of tamarackd had a limit for headers. The others took 1 MiB, the default of the standard library, which is in memory before any handler or limit of bodies.

Ruled out: endless headers, which end at the limit; bodies, which are empty.

TestEntryLongHeaders (peers' API of tamarackd) held with 98.7 of 128 and is kept as a guard.

Change: a server has a limit of 16 KiB unless its options set one; the peers' API uses max_header_bytes like the other listeners. No new setting: 16 KiB is the limit that the operators' configurations declare for callers, and calls between hosts have headers below 2 KiB.

Why it works: a longer header is refused with 431 after 16 KiB and some buffer of the standard library.

--- a/agent/peers.go
+++ b/agent/peers.go
@@ -50,7 +50,7 @@
 	mux.Handle(path, handler)
 	l := a.settings.Limits
 	return k.Register("peer", daemon.NewHTTPServer(daemon.HTTPOptions{
-		Address: a.settings.PeerListen, Handler: mux, TLS: server, ReadHeaderTimeout: l.ReadHeaderTimeout,
+		Address: a.settings.PeerListen, Handler: mux, TLS: server, MaxHeaderBytes: l.MaxHeaderBytes, ReadHeaderTimeout: l.ReadHeaderTimeout,
 		IdleTimeout: l.IdleTimeout, Limiter: a.limits.peers(a.peers), WrapListener: func(l net.Listener) net.Listener { return meter.Listener(l) },
 	}))
 }
--- a/daemon/http.go
+++ b/daemon/http.go
@@ -16,6 +16,10 @@
 // ErrListen means that an address could not be bound.
 var ErrListen = errors.New("daemon: cannot listen")
 
+// DefaultMaxHeaderBytes bounds the header of a request. It is far below the default of the standard library, because headers are in memory
+// before any other limit applies.
+const DefaultMaxHeaderBytes = 16 << 10
+
 // HTTPOptions configures an HTTPServer.
 type HTTPOptions struct {
 	Address string
@@ -28,11 +32,12 @@
 	// Limiter, if set, bounds the connections and the bodies of requests.
 	Limiter *ingresslimit.Limiter
 
-	// MaxHeaderBytes and ReadTimeout have the meaning and defaults of the fields of http.Server.
+	// MaxHeaderBytes defaults to DefaultMaxHeaderBytes.
 	MaxHeaderBytes int
 	// ReadHeaderTimeout defaults to 5 s.
 	ReadHeaderTimeout time.Duration
-	ReadTimeout       time.Duration
+	// ReadTimeout has the meaning and the default of the field of http.Server.
+	ReadTimeout time.Duration
 	// IdleTimeout defaults to 1 min.
 	IdleTimeout time.Duration
 	// AllowH2C accepts HTTP/2 without TLS, which connect clients may use.
@@ -47,6 +52,9 @@
 
 // NewHTTPServer returns a server that listens from Start on.
 func NewHTTPServer(opts HTTPOptions) *HTTPServer {
+	if opts.MaxHeaderBytes <= 0 {
+		opts.MaxHeaderBytes = DefaultMaxHeaderBytes
+	}
 	if opts.ReadHeaderTimeout <= 0 {
 		opts.ReadHeaderTimeout = 5 * time.Second
 	}
