Bound the hosts that a host keeps of its callers

What callers saw: 10,000 calls to the internal listener, each with another name of 8 KiB in Tamarack-Host, made a tamarack-node of 64 MB take 88 MiB, and more with each further call for as long as the host does not look for live ones.

Cause: each caller of the internal API is kept as a host under the name that it gives itself, of any length and any number; the API needs no token. Those that are silent for 3 s were dropped only when the owner looked for successors.

Ruled out: bodies (two bytes), headers in progress (100 clients of 8 KiB).

Change: a name has to be one that settings can have (63 characters), and at most 1,024 hosts that called within 3 s are kept; the size to design for has 32 data centres with 8 entry hosts each. Known hosts are always updated.

Why it works: each host kept takes some 200 bytes now.

TestClaimedHostsAreBounded fails without the conditions. Not covered: somebody who reaches the internal API can still claim to be a strong host, or fill the 1,024 places for 3 s at a time, which delays a change of the owner but loses nothing.

--- a/internal/ingresscheck/header_test.go
+++ b/internal/ingresscheck/header_test.go
@@ -1,6 +1,7 @@
 package ingresscheck
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -11,7 +12,8 @@
 // longValueBytes is the size of a value in a header, below the limit that servers have by default.
 const longValueBytes = 512 << 10
 
-// Guards against long headers, which no limit of bodies counts, on listeners without a limit of their own.
+// Guards against long headers, which no limit of bodies counts, on listeners without a limit of their own, and against keeping the names that
+// clients give themselves.
 func TestNodeLongHeaders(t *testing.T) {
 	n := startNode(t)
 	crowd := wholeCrowd{clients: 100, requests: waves}
@@ -23,6 +25,17 @@
 	n.check(t)
 }
 
+// Guards against names of any number of hosts that clients claim to be.
+func TestNodeManyHostNames(t *testing.T) {
+	n := startNode(t)
+	name := strings.Repeat("x", 8<<10)
+	for client := range 4 {
+		header := "POST " + schedulev1connect.ScheduleServiceHolderProcedure + rpcHeader + fmt.Sprintf("Tamarack-Host: %x-%%016x", client) + name + "\r\n"
+		wholeCrowd{clients: 100, requests: 25}.send(t, n.internal, header, []byte("{}"))
+	}
+	n.check(t)
+}
+
 // Guards against long headers on the API of peers, before the token is looked at.
 func TestEntryLongHeaders(t *testing.T) {
 	e := startEntryOn(t, entryMemoryMB)
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/tamarackworks/tamarackworks/ownership"
+	"github.com/tamarackworks/tamarackworks/settings"
 )
 
 // Headers with which an entry host describes itself in calls to other entry hosts.
@@ -27,6 +29,9 @@
 // jobs several times a second.
 const peerTTL = 3 * time.Second
 
+// maxPeers bounds the hosts that are kept. Anybody who reaches the internal API can claim to be one.
+const maxPeers = 1024
+
 // outrankFactor is the smallest multiple of the owner's CPU share with which another host replaces the owner. A change of the
 // owner costs some tenths of a second in which no task starts.
 const outrankFactor = 2
@@ -66,11 +71,12 @@
 	}
 }
 
-// recordCaller stores the description of the host that made a call. A malformed CPU share counts as 0, so that the host is
-// the last choice as a successor. Without a valid age, as from hosts of former versions, it is not known when the store answered.
+// recordCaller stores the description of the host that made a call, unless its names are not valid or maxPeers other hosts have called
+// lately. A malformed CPU share counts as 0, so that the host is the last choice as a successor. Without a valid age, as from hosts of
+// former versions, it is not known when the store answered.
 func (p *peers) recordCaller(h http.Header) {
-	name := h.Get(hostHeader)
-	if name == "" {
+	name, dataCentre := h.Get(hostHeader), h.Get(dataCentreHeader)
+	if !settings.ValidName(name) || dataCentre != "" && !settings.ValidName(dataCentre) {
 		return
 	}
 	share, err := strconv.ParseFloat(h.Get(cpuShareHeader), 64)
@@ -79,7 +85,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	caller := peer{name: name, dataCentre: h.Get(dataCentreHeader), cpuShare: share, lastSeen: p.now()}
+	if _, known := p.byName[name]; !known && len(p.byName) >= maxPeers {
+		p.dropSilent()
+		if len(p.byName) >= maxPeers {
+			return
+		}
+	}
+	caller := peer{name: name, dataCentre: dataCentre, cpuShare: share, lastSeen: p.now()}
 	if age, err := strconv.ParseUint(h.Get(storeAgeHeader), 10, 31); err == nil {
 		// The milliseconds of the header are rounded down.
 		caller.storeAnswered = max(p.byName[name].storeAnswered, caller.lastSeen-time.Duration(age+1)*time.Millisecond)
@@ -110,15 +122,14 @@
 func (p *peers) live() []peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var hosts []peer
-	for name, host := range p.byName {
-		if p.now()-host.lastSeen > peerTTL {
-			delete(p.byName, name)
-			continue
-		}
-		hosts = append(hosts, host)
-	}
-	return hosts
+	p.dropSilent()
+	return slices.Collect(maps.Values(p.byName))
+}
+
+// dropSilent drops the hosts that have not called within peerTTL. The caller holds the lock.
+func (p *peers) dropSilent() {
+	now := p.now()
+	maps.DeleteFunc(p.byName, func(_ string, host peer) bool { return now-host.lastSeen > peerTTL })
 }
 
 // rankSuccessors returns the names of up to ownership.MaxSuccessors hosts, best first. Hosts that another one would outrank come
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,6 +53,25 @@
 	assert.DeepEqual(t, p.successors(), []string{"new", "broken"})
 }
 
+// Guards against keeping any number of hosts, or names of any length, and against hosts that are kept out by those that no longer call.
+func TestClaimedHostsAreBounded(t *testing.T) {
+	now := time.Duration(0)
+	p := newPeers(peer{name: "own"}, func() time.Duration { return now }, func() time.Duration { return 0 })
+	call := func(name, dataCentre string) {
+		p.recordCaller(http.Header{hostHeader: {name}, dataCentreHeader: {dataCentre}})
+	}
+	call(strings.Repeat("x", 64), "x")
+	call("x", strings.Repeat("x", 64))
+	assert.Equal(t, len(p.live()), 0)
+	for n := range maxPeers + 1 {
+		call("x"+strconv.Itoa(n), "x")
+	}
+	assert.Equal(t, len(p.live()), maxPeers)
+	now += peerTTL + 1
+	call("new", "x")
+	assert.Equal(t, len(p.live()), 1)
+}
+
 // Guards against changes of the owner between hosts with similar CPU shares.
 func TestOnlyMuchStrongerHostsOutrank(t *testing.T) {
 	for share, want := range map[float64]bool{0.2: false, 0.39: false, 0.4: true, 0.8: true} {
