--- a/internal/ingresscheck/mixed_test.go
+++ b/internal/ingresscheck/mixed_test.go
@@ -33,8 +33,12 @@
 	message := []byte(`{"value":"` + strings.Repeat("x", nodeBodyBytes-12) + `"}`)
 	var wg sync.WaitGroup
 	wg.Go(func() { crowd.send(t, n.callers, submission, payload) })
-	wg.Go(func() { wholeCrowd{clients: 16, requests: 50}.send(t, n.callers, "POST /q/f%015x HTTP/1.1\r\nHost: h\r\n", steps) })
-	wg.Go(func() { crowd.send(t, n.internal, "POST /schedule.v1.ScheduleService/StoreJob?%016x"+rpcHeader, message) })
+	wg.Go(func() {
+		wholeCrowd{clients: 16, requests: 50}.send(t, n.callers, "POST /q/f%015x HTTP/1.1\r\nHost: h\r\n", steps)
+	})
+	wg.Go(func() {
+		crowd.send(t, n.internal, "POST /schedule.v1.ScheduleService/StoreJob?%016x"+rpcHeader, message)
+	})
 	wg.Wait()
 	n.settle(t)
 	n.check(t)
