Bound the IDs of jobs in calls of other hosts

What callers saw: 800 calls to the internal listener that each name another job of 256 KiB, in 16 clients, made a tamarack-node of 64 MB take 232 MiB.

Cause: a host remembers, for a minute, the IDs of jobs that another host says may be stored, at most 50,000 of them but of any length. The API needs no token.

Ruled out: bodies in progress (16 clients of 256 KiB, 4 MiB); the store, which these calls do not reach.

Change: calls that name a job of more than 64 bytes, or none, are refused with invalid_argument. IDs of callers have 16 bytes, which is checked before they are used; no setting.

Why it works: 50,000 IDs of 64 bytes take some MB.

--- a/node/owner.go
+++ b/node/owner.go
@@ -159,8 +159,22 @@
 	return resp.Msg.Holder, nil
 }
 
+// maxJobIDBytes bounds the ID of a job in calls of other hosts, because IDs are kept. Callers' IDs have 16 bytes.
+const maxJobIDBytes = 64
+
+// checkJobID returns an error for an ID that no job has.
+func checkJobID(id string) error {
+	if id == "" || len(id) > maxJobIDBytes {
+		return connect.NewError(connect.CodeInvalidArgument, errors.Errorf("node: the ID of a job has 1 to %d bytes", maxJobIDBytes))
+	}
+	return nil
+}
+
 // StoreJob implements ScheduleService.
 func (s *scheduleServer) StoreJob(ctx context.Context, r *connect.Request[schedulev1.StoreJobRequest]) (*connect.Response[schedulev1.StoreJobResponse], error) {
+	if err := checkJobID(r.Msg.Job); err != nil {
+		return nil, err
+	}
 	if _, known, err := s.coordinator.JobStatus(ctx, r.Msg.Job); err == nil && known {
 		return connect.NewResponse(&schedulev1.StoreJobResponse{}), nil
 	}
@@ -172,6 +186,9 @@
 
 // StoreCancel implements ScheduleService.
 func (s *scheduleServer) StoreCancel(ctx context.Context, r *connect.Request[schedulev1.StoreCancelRequest]) (*connect.Response[schedulev1.StoreCancelResponse], error) {
+	if err := checkJobID(r.Msg.Job); err != nil {
+		return nil, err
+	}
 	if err := s.frontend.StoreCancel(ctx, r.Msg.Job); err != nil {
 		return nil, storeRPCError(err)
 	}
@@ -189,6 +206,9 @@
 
 // JobStatus implements ScheduleService.
 func (s *scheduleServer) JobStatus(ctx context.Context, r *connect.Request[schedulev1.JobStatusRequest]) (*connect.Response[schedulev1.JobStatusResponse], error) {
+	if err := checkJobID(r.Msg.Job); err != nil {
+		return nil, err
+	}
 	status, known, err := s.coordinator.JobStatus(ctx, r.Msg.Job)
 	if err != nil {
 		return nil, coordinatorRPCError(err)
