Read large payloads of jobs only when they are needed

What callers saw: once 128 jobs with payloads of 250 KiB had been accepted by an entry host, no job of any caller started any more. All were accepted and stayed queued.

Cause: the scheduling pass of the leader reads all tasks and then up to 1,000 rows of jobs in one response each. The client of the platform cuts a response at 16 MiB, and each pass failed with 'unexpected end of JSON input'.

Ruled out: the capacity of the workers: with payloads of 25 bytes (trial) the ordinary job starts. Smaller pages alone: the pass then reads all rows, but the list of tasks, which carried the payloads too, was cut next (trial, the test failed), and 1,000 payloads would be in memory.

Change: a response that is too large is an error of its own; cloud.ForEachRow reads such a page again in pages an eighth of its size and is used by the scheduler, the drainer's question and the operators' list. Of a job the pass keeps payloads of up to 4 KiB; a larger one is read again, at the same version of its row, when its task starts or its row is written. The platform leaves payloads out of the list of tasks, which nothing read there; the report of one task has it.

Why it works: a pass holds one page and a few hundred bytes for each job. A row that has changed since the pass began ends the write as before, as its version does not match.

Left: a pass still transfers all payloads, so some thousand such jobs make passes slow.

--- a/cloud/cloud.go
+++ b/cloud/cloud.go
@@ -24,6 +24,8 @@
 	ErrAmbiguous = errors.New("cloud: result unknown")
 	// ErrInvalid means that the platform rejected the request as malformed.
 	ErrInvalid = errors.New("cloud: invalid request")
+	// ErrTooLarge means that the response to a read exceeds what the client holds in memory.
+	ErrTooLarge = errors.New("cloud: response too large")
 )
 
 const (
@@ -149,7 +151,7 @@
 	StopTask(ctx context.Context, id string) error
 	// Task returns a task or ErrNotFound.
 	Task(ctx context.Context, id string) (Task, error)
-	// Tasks returns the tasks of a data centre, ended ones included.
+	// Tasks returns the tasks of a data centre, ended ones included. Their payloads may be left out.
 	Tasks(ctx context.Context, dataCentre string) ([]Task, error)
 }
 
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -270,24 +270,20 @@
 
 // forEachJob calls fn for each job of a data centre with the version of its row.
 func forEachJob(ctx context.Context, table cloud.Table, dataCentre string, fn func(job structs.Job, version uint64)) error {
-	after := ""
-	for {
-		rows, err := table.List(ctx, jobPrefix(dataCentre), after, cloud.MaxListLimit)
-		if err != nil {
-			return translateError(err)
-		}
-		for _, row := range rows {
-			var job structs.Job
-			if err := json.Unmarshal(row.Value, &job); err != nil {
-				return errors.Wrapf(err, "decode row %s", row.Key)
-			}
-			fn(job, row.Version)
-			after = row.Key
-		}
-		if len(rows) < cloud.MaxListLimit {
-			return nil
+	var decodeErr error
+	err := cloud.ForEachRow(ctx, table, jobPrefix(dataCentre), func(row cloud.Row) error {
+		var job structs.Job
+		if err := json.Unmarshal(row.Value, &job); err != nil {
+			decodeErr = errors.Wrapf(err, "decode row %s", row.Key)
+			return decodeErr
 		}
+		fn(job, row.Version)
+		return nil
+	})
+	if err == nil || decodeErr != nil {
+		return decodeErr
 	}
+	return translateError(err)
 }
 
 // jobTxn returns a transaction that writes a job if its row still has the given version and the extra
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -225,6 +225,32 @@
 	})
 }
 
+// Guards against a payload that is lost when a job starts, is stored or starts again, and against holding large payloads in a pass.
+func TestLargePayloadsReachTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t)
+		payload := fmt.Sprintf(`{"run_ms":1000,"fail":true,"id":"big","rest":%q}`, strings.Repeat("x", 2*maxHeldPayload))
+		_, err := env.store.Submit(t.Context(), Submission{ID: "big", Caller: "c", Spec: structs.JobSpec{
+			Service: "svc", Team: "a", Cores: 4, MemoryMB: 1024, RunTimeMS: 1000, Idempotent: true, Payload: payload,
+		}})
+		assert.NilError(t, err)
+		s, _ := env.newLeader(nil)
+		entries, err := s.loadEntries(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, entries[0].job.Spec.Payload, "")
+		runPasses(t.Context(), s, 15)
+		job := env.job("big")
+		assert.Equal(t, job.State, structs.JobFailed)
+		assert.Equal(t, job.Spec.Payload, payload)
+		tasks, err := env.faultFree.Tasks(t.Context(), "dc")
+		assert.NilError(t, err)
+		assert.Equal(t, len(tasks), MaxAttempts)
+		for _, task := range tasks {
+			assert.Equal(t, task.Spec.Payload, payload)
+		}
+	})
+}
+
 // Guards against a job that disappears or runs twice when all leases expire during a long outage of the platform.
 func TestExpiredLeasesLoseNoJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/jobs/scheduler.go
+++ b/jobs/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -110,6 +111,38 @@
 	// stale is set when a write of the row did not certainly take effect. The entry is left alone then, and the next
 	// pass reads the row again.
 	stale bool
+	// payloadLeft is set if the job has a payload that is too large to hold those of all jobs. It is read again when it is needed.
+	payloadLeft bool
+}
+
+// maxHeldPayload is the size of the largest payload that a pass holds for each job, in bytes.
+const maxHeldPayload = 4 << 10
+
+// leavePayload drops a payload that is too large to hold.
+func (e *jobEntry) leavePayload() {
+	if len(e.job.Spec.Payload) > maxHeldPayload {
+		e.job.Spec.Payload, e.payloadLeft = "", true
+	}
+}
+
+// withPayload returns the job of an entry with its payload. The error matches ErrUnavailable if the row cannot be read or has changed.
+func (s *Scheduler) withPayload(ctx context.Context, e *jobEntry, job structs.Job) (structs.Job, error) {
+	if !e.payloadLeft {
+		return job, nil
+	}
+	row, err := s.opts.Table.Get(ctx, jobKey(s.opts.DataCentre, job.ID))
+	if err != nil {
+		return job, translateError(err)
+	}
+	var stored structs.Job
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return job, errors.Wrapf(err, "decode row %s", row.Key)
+	}
+	if row.Version != e.version {
+		return job, errors.Wrap(ErrUnavailable, "the row has changed")
+	}
+	job.Spec.Payload = stored.Spec.Payload
+	return job, nil
 }
 
 // running reports whether the task of the job was running, throttled or not, when the pass read it.
@@ -195,6 +228,7 @@
 	var entries []*jobEntry
 	err = forEachJob(ctx, s.opts.Table, s.opts.DataCentre, func(job structs.Job, version uint64) {
 		e := &jobEntry{job: job, version: version}
+		e.leavePayload()
 		e.task, e.hasTask = byID[job.TaskID]
 		entries = append(entries, e)
 	})
@@ -212,7 +246,11 @@
 	if job.State.Final() && job.FinishedUnixMS == 0 {
 		job.FinishedUnixMS = time.Now().UnixMilli()
 	}
-	txn, err := jobTxn(jobPrefix(s.opts.DataCentre)+job.ID, job, e.version, append(extra, fence)...)
+	job, err := s.withPayload(ctx, e, job)
+	var txn cloud.Txn
+	if err == nil {
+		txn, err = jobTxn(jobPrefix(s.opts.DataCentre)+job.ID, job, e.version, append(extra, fence)...)
+	}
 	if err == nil {
 		e.version, err = s.opts.Table.Commit(ctx, txn)
 	}
@@ -222,6 +260,7 @@
 		return false
 	}
 	e.job = job
+	e.leavePayload()
 	return true
 }
 
@@ -304,9 +343,12 @@
 	if !s.isLeader() {
 		return ErrUnavailable
 	}
+	j, err := s.withPayload(ctx, e, e.job)
+	if err != nil {
+		return err
+	}
 	at := time.Now()
-	j := &e.job
-	err := s.opts.Workers.StartTask(ctx, cloud.TaskSpec{
+	err = s.opts.Workers.StartTask(ctx, cloud.TaskSpec{
 		ID: j.TaskID, DataCentre: s.opts.DataCentre, Host: j.Worker, Cores: j.Spec.Cores, MemoryMB: j.Spec.MemoryMB,
 		Accelerators: j.Spec.Accelerators, Payload: j.Spec.Payload, Checkpoint: j.Checkpoint, Lease: s.opts.Lease,
 	})
--- a/operator/jobtable.go
+++ b/operator/jobtable.go
@@ -12,9 +12,7 @@
 
 // JobTable implements Jobs on the platform's table.
 type JobTable struct {
-	Table interface {
-		List(ctx context.Context, prefix, after string, limit int) ([]cloud.Row, error)
-	}
+	Table cloud.Lister
 }
 
 // Jobs returns the jobs of a data centre, or of all data centres if it is empty. A row that cannot be decoded makes the
@@ -25,21 +23,18 @@
 		prefix += dataCentre + "/"
 	}
 	var jobs []structs.Job
-	for after := ""; ; {
-		rows, err := t.Table.List(ctx, prefix, after, cloud.MaxListLimit)
-		if err != nil {
-			return nil, errors.Wrap(err, "read jobs")
-		}
-		for _, row := range rows {
-			var job structs.Job
-			if err := json.Unmarshal(row.Value, &job); err != nil {
-				return nil, errors.Wrap(err, row.Key)
-			}
-			jobs = append(jobs, job)
-			after = row.Key
-		}
-		if len(rows) < cloud.MaxListLimit {
-			return jobs, nil
+	err := cloud.ForEachRow(ctx, t.Table, prefix, func(row cloud.Row) error {
+		var job structs.Job
+		if err := json.Unmarshal(row.Value, &job); err != nil {
+			return errors.Wrap(err, row.Key)
 		}
+		// The payload is for the worker only.
+		job.Spec.Payload = ""
+		jobs = append(jobs, job)
+		return nil
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "read jobs")
 	}
+	return jobs, nil
 }
--- a/standin/platformclient/client.go
+++ b/standin/platformclient/client.go
@@ -23,7 +23,7 @@
 const (
 	// DefaultTimeout bounds one call if Options.Timeout is not set. An earlier deadline of the context applies too.
 	DefaultTimeout = 2 * time.Second
-	// maxResponseBytes bounds the part of a response body that is read.
+	// maxResponseBytes bounds the body of a response.
 	maxResponseBytes = 16 << 20
 	// HeaderDataCentre is the header with the data centre of the calling process.
 	HeaderDataCentre = "Tamarack-Data-Centre"
@@ -100,10 +100,13 @@
 		return transportError(err, cl.write && sent.Load())
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return transportError(err, cl.write)
 	}
+	if len(answer) > maxResponseBytes && !cl.write {
+		return cloud.ErrTooLarge
+	}
 	if err := statusError(resp.StatusCode, answer, cl.write); err != nil {
 		return err
 	}
--- a/standin/platformserver/server.go
+++ b/standin/platformserver/server.go
@@ -228,6 +228,10 @@
 
 func (s *Server) tasks(w http.ResponseWriter, r *http.Request) {
 	tasks, err := s.callerHandle(r).Tasks(r.Context(), r.FormValue("data_centre"))
+	for i := range tasks {
+		// The payloads of all tasks may exceed what a client reads; that of one task is in its own report.
+		tasks[i].Spec.Payload = ""
+	}
 	writeResponse(w, tasks, err)
 }
 
