Tell the owner of any job that may be stored

A host could answer 429, which promises that the job never runs, a moment before another host's attempt of the same job was stored.

Cause: a host tells the owner of an attempt with an unknown outcome, so that no host refuses the job. It did so only for the kinds of jobs that closures refuse: with an objective, neither long-running nor recurring. A refusal for memory can hit any kind.

Ruled out: the other checks before a refusal (attempts on this host, jobs that the owner knows, rows of the store); none sees a write that is still on its way from another host.

Change: while the memory for jobs is bounded, a host reports attempts of unknown outcome for all kinds.

Why it works: the owner's host then confirms no refusal of the job, and the answer is 504.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -356,7 +356,7 @@
 	if outcome != OK {
 		f.submitted.record(job.ID, start, outcome == Unknown)
 	}
-	if outcome == Unknown && scheduler.MayBeRefused(job) {
+	if outcome == Unknown && (scheduler.MayBeRefused(job) || f.boundsJobMemory()) {
 		f.reportUncertain(job.ID)
 	}
 	entry := f.opts.Log.WithFields(log.Fields{"job": job.ID, "queue": m.Name, "config": m.ConfigVersion, "tries": tries})
--- a/frontend/room.go
+++ b/frontend/room.go
@@ -81,11 +81,14 @@
 // UpdateRoom sets how much memory the owner has left for jobs, which the given number of hosts share.
 func (f *Frontend) UpdateRoom(bytes int64, hosts int) { f.room.update(bytes, hosts, f.opts.Now()) }
 
-// refuseForMemory reports whether a job that arrived at start is refused because the owner has no room for it. If the job may be stored by
-// another attempt, the outcome is unknown; one that is stored is not refused.
+// boundsJobMemory reports whether jobs of any kind can be refused because the owner has no room for them.
+func (f *Frontend) boundsJobMemory() bool { return f.opts.UnconfirmedJobMemory > 0 }
+
+// refuseForMemory reports whether a job that arrived at start is refused because the owner has no room for it. If another attempt may have
+// stored the job, the outcome is unknown. A job that the owner knows is not refused.
 func (f *Frontend) refuseForMemory(ctx context.Context, job *workload.Job, start time.Duration) (Result, bool) {
 	bytes := scheduler.Footprint(job)
-	if f.opts.UnconfirmedJobMemory <= 0 || f.room.take(bytes, f.opts.UnconfirmedJobMemory, start) {
+	if !f.boundsJobMemory() || f.room.take(bytes, f.opts.UnconfirmedJobMemory, start) {
 		return Result{}, false
 	}
 	granted := false
--- a/frontend/room_test.go
+++ b/frontend/room_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/scheduler"
+	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/workload"
 )
 
@@ -67,3 +69,26 @@
 		})
 	}
 }
+
+// Replays an attempt whose connection breaks while its write is on its way to the store, for a job of a kind that no closure refuses. Guards
+// against another host that promises that the job never runs, a moment before it is stored.
+func TestJobsThatMayBeStoredLateAreNotRefusedForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, owner := newFixture(t), newFixture(t), newFixture(t)
+		for _, x := range []*fixture{first, second} {
+			x.owner.frontend = owner.frontend
+			x.frontend.opts.UnconfirmedJobMemory = 1
+		}
+		job := func() *workload.Job {
+			return &workload.Job{ID: "1", Steps: []workload.Step{{Count: 1, LongRunning: true}}}
+		}
+		assert.Assert(t, !scheduler.MayBeRefused(job()))
+		first.handle.SetFault(func(bool) rows.Fault { return rows.Late })
+		ctx, disconnect := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer disconnect()
+		assert.Equal(t, first.frontend.Submit(ctx, first.match, job()).Outcome, Unknown)
+		second.owner.full = true
+		assert.Equal(t, second.frontend.Submit(t.Context(), second.match, job()).Outcome, Unknown)
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/node/queueload.go
+++ b/node/queueload.go
@@ -47,7 +47,7 @@
 // errQueueLoad means that the value of queueLoadHeader is malformed.
 var errQueueLoad = errors.New("node: malformed queue load")
 
-// queueLoads passes the load of the queues from the owner to the frontends of all hosts.
+// queueLoads passes the load of the queues, and the room for jobs, from the owner to the frontends of all hosts.
 type queueLoads struct {
 	now      func() time.Duration
 	received func(frontend.QueueLoad)
