--- a/internal/ingresscheck/crowd_test.go
+++ b/internal/ingresscheck/crowd_test.go
@@ -35,18 +35,34 @@
 	piece int
 }
 
+// openConns keeps the connections of clients open until the end of a test.
+type openConns struct {
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func newOpenConns(t *testing.T) *openConns {
+	o := &openConns{}
+	t.Cleanup(func() {
+		for _, conn := range o.conns {
+			_ = conn.Close()
+		}
+	})
+	return o
+}
+
+func (o *openConns) add(conn net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conns = append(o.conns, conn)
+}
+
 // sendCrowd lets crowdSize clients send their requests at the same time. All but one of finishEvery stop just short of the end
 // of their body. It returns when all have sent what they send; the connections stay open until the end of the test.
 func sendCrowd(t *testing.T, address string, config *tls.Config, c client) {
 	t.Helper()
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var conns []net.Conn
-	t.Cleanup(func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-	})
+	conns := newOpenConns(t)
 	for n := range crowdSize {
 		wg.Go(func() {
 			conn, err := net.DialTimeout("tcp", address, writeTimeout)
@@ -58,9 +74,7 @@
 			if config != nil {
 				conn = tls.Client(conn, config)
 			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
+			conns.add(conn)
 			// The daemon may close the connection at any time.
 			_ = c.send(conn, n)
 		})
--- a/internal/ingresscheck/doc.go
+++ b/internal/ingresscheck/doc.go
@@ -1,4 +1,5 @@
-// Package ingresscheck tests the daemons against clients that send large bodies, stop just short of their end and keep the
-// connection open. It starts the real processes on loopback addresses and checks their memory and open descriptors, so
-// scripts/test runs it alone, after all other packages.
+// Package ingresscheck tests the daemons against clients that do not behave: they send large bodies, stop just short of their end and keep
+// the connection open, or send complete requests that take far more memory than their bytes. It starts the real processes on loopback
+// addresses and checks that they live, answer an ordinary request and stay within bounds of memory and open descriptors. scripts/test runs it
+// alone, after all other packages.
 package ingresscheck
--- a/internal/ingresscheck/mixed_test.go
+++ b/internal/ingresscheck/mixed_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/tamarackworks/tamarackworks/internal/gen/schedule/v1/schedulev1connect"
 )
 
 // Guards against crowds that each stay within the limits of what they use, but not together.
@@ -37,7 +39,7 @@
 		wholeCrowd{clients: 16, requests: 50}.send(t, n.callers, "POST /q/f%015x HTTP/1.1\r\nHost: h\r\n", steps)
 	})
 	wg.Go(func() {
-		crowd.send(t, n.internal, "POST /schedule.v1.ScheduleService/StoreJob?%016x"+rpcHeader, message)
+		crowd.send(t, n.internal, "POST "+schedulev1connect.ScheduleServiceStoreJobProcedure+"?%016x"+rpcHeader, message)
 	})
 	wg.Wait()
 	n.settle(t)
--- a/internal/ingresscheck/queue_test.go
+++ b/internal/ingresscheck/queue_test.go
@@ -18,13 +18,7 @@
 func connectAll(t *testing.T, clients int, addresses ...string) {
 	t.Helper()
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var conns []net.Conn
-	t.Cleanup(func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-	})
+	conns := newOpenConns(t)
 	header := []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 262144\r\n\r\n")
 	for _, address := range addresses {
 		for range clients {
@@ -34,9 +28,7 @@
 					// The kernel may drop connections.
 					return
 				}
-				mu.Lock()
-				conns = append(conns, conn)
-				mu.Unlock()
+				conns.add(conn)
 				// The client sends until the buffers are full.
 				_ = conn.SetWriteDeadline(time.Now().Add(frozenTimeout))
 				_, _ = conn.Write(append(header, make([]byte, nodeBodyBytes)...))
--- a/internal/ingresscheck/unread_test.go
+++ b/internal/ingresscheck/unread_test.go
@@ -34,13 +34,7 @@
 	}}
 	request := client{header: header, body: body}
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var conns []net.Conn
-	t.Cleanup(func() {
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-	})
+	conns := newOpenConns(t)
 	for n := range crowdSize {
 		wg.Go(func() {
 			conn, err := dialer.DialContext(t.Context(), "tcp", address)
@@ -48,9 +42,7 @@
 				// The daemon may refuse connections.
 				return
 			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
+			conns.add(conn)
 			_ = conn.SetDeadline(time.Now().Add(writeTimeout))
 			// The daemon may close the connection at any time.
 			_, _ = conn.Write(request.wire(n * finishEvery))
