--- /dev/null
+++ b/review/sim3/case_counts.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// counts: all executors of a service refuse starts for a while, and the length of its queue is asked for.
+func counts(w *world, trouble bool) {
+	w.configure(1, 4, "alpha", "beta")
+	var busy atomic.Bool
+	for i := range 3 {
+		w.addExecutor("alpha", i, resources{16000, 32768, 0}).answer = func(path string) int {
+			if busy.Load() && path == "/run-start" {
+				return http.StatusServiceUnavailable
+			}
+			return 0
+		}
+	}
+	w.addExecutor("beta", 0, resources{16000, 32768, 0})
+	w.startNodes(3, bounds{statusS: 120})
+	time.Sleep(3 * time.Second)
+	busy.Store(trouble)
+	accepted := 0
+	for n := range 12 {
+		id := fmt.Sprintf("%016x", 0xf00+n)
+		if w.submit(w.nodes[n%3], id, "alpha", 800*time.Millisecond, jobBody{
+			Spec: "preview", Steps: []step{{Count: 4, CPU: 900, MemMB: 1300, EstimateMs: 800}},
+		}) == http.StatusOK {
+			accepted++
+		}
+	}
+	// visible_ms and 2 s.
+	time.Sleep(5500 * time.Millisecond)
+	begun := make(map[string]bool)
+	w.mu.Lock()
+	for _, r := range w.runs {
+		id, _, _ := stepOf(r.task)
+		begun[id] = true
+	}
+	w.mu.Unlock()
+	waiting := accepted - len(begun)
+	for _, n := range w.nodes {
+		if p := w.pending(n, "alpha"); p >= 0 && 2*p < waiting {
+			w.violate("MIXED: %s gives %d as Pending; %d jobs were accepted over 5 s before, and %d of them have not begun", n.name, p, accepted, waiting)
+		}
+	}
+}
