--- a/review/sim3/case_crashes.go
+++ b/review/sim3/case_crashes.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// crashes: executors go down and up by turns. A lasting job has one work item for each of three executors; one of them flaps.
+// crashes: one of nine executors goes down and up by turns. A job that lasts has one work item on each of them.
 func crashes(w *world, trouble bool) {
-	w.configure(1, 4, "alpha", "beta")
+	const count = 9
+	w.configure(1, 4, "alpha")
 	var alpha []*executor
-	for i := range 3 {
+	for i := range count {
 		alpha = append(alpha, w.addExecutor("alpha", i, resources{16000, 32768, 0}))
-		w.addExecutor("beta", i, resources{16000, 32768, 0})
 	}
 	w.startNodes(3, bounds{statusS: 120})
 	time.Sleep(3 * time.Second)
 	const id = "00000000000000a1"
 	w.submit(w.nodes[0], id, "alpha", 300*time.Millisecond, jobBody{
-		Spec: "keeps the ledger", Steps: []step{{Count: 3, CPU: 1500, MemMB: 2400, EstimateMs: 500, AntiAffinity: 1, LongRunning: true, MayMiss: 1}},
+		Spec: "keeps the ledger", Steps: []step{{Count: count, CPU: 1500, MemMB: 2400, EstimateMs: 500, AntiAffinity: 1, LongRunning: true, MayMiss: 1}},
 	})
 	running := func() int {
 		n := 0
@@ -26,17 +26,10 @@
 		}
 		return n
 	}
-	w.await(8*time.Second, "all work items run", func() bool { return running() == 3 })
+	w.await(8*time.Second, "all work items run", func() bool { return running() == count })
 	time.Sleep(2 * time.Second)
 	if trouble {
-		// srv_flap: period 1.4 s, for 6.5 s.
-		flapping := alpha[0]
-		for began := time.Now(); time.Since(began) < 6500*time.Millisecond; {
-			flapping.crash()
-			time.Sleep(700 * time.Millisecond)
-			flapping.boot()
-			time.Sleep(700 * time.Millisecond)
-		}
+		flap(alpha[0], 6500*time.Millisecond)
 	} else {
 		time.Sleep(6500 * time.Millisecond)
 	}
@@ -52,3 +45,13 @@
 	}
 	w.log("at the end", "running", running())
 }
+
+// flap lets an executor go down and up by turns for a time, with a period of 1.4 s.
+func flap(e *executor, during time.Duration) {
+	for began := time.Now(); time.Since(began) < during; {
+		e.crash()
+		time.Sleep(700 * time.Millisecond)
+		e.boot()
+		time.Sleep(700 * time.Millisecond)
+	}
+}
--- a/review/sim3/case_gang.go
+++ b/review/sim3/case_gang.go
@@ -4,23 +4,27 @@
 	"time"
 )
 
-// gang: executors go down and up by turns while a gang runs that needs room on each of them.
+// gang: one of nine executors goes down and up by turns while a gang runs on the three that have the label it needs.
 func gang(w *world, trouble bool) {
 	w.configure(1, 4, "alpha")
-	var alpha []*executor
-	for i := range 3 {
-		alpha = append(alpha, w.addExecutor("alpha", i, resources{16000, 32768, 0}))
+	var labelled []*executor
+	for i := range 9 {
+		if i < 3 {
+			labelled = append(labelled, w.addExecutorOfKind("b", "alpha", i, resources{16000, 32768, 0}))
+			continue
+		}
+		w.addExecutor("alpha", i, resources{16000, 32768, 0})
 	}
 	w.startNodes(3, bounds{statusS: 120})
 	time.Sleep(3 * time.Second)
 	const id = "00000000000000e1"
-	// Twelve work items of 4 cores, four on each executor.
+	// Twelve work items of 4 cores, four on each executor with the label.
 	w.submit(w.nodes[0], id, "alpha", 4*time.Second, jobBody{
-		Spec: "layout", Steps: []step{{Count: 12, CPU: 4000, MemMB: 2400, EstimateMs: 4000, Gang: true}},
+		Spec: "layout", Steps: []step{{Count: 12, CPU: 4000, MemMB: 2400, EstimateMs: 4000, Gang: true, Requirements: "b"}},
 	})
 	running := func() int {
 		n := 0
-		for _, e := range alpha {
+		for _, e := range labelled {
 			n += len(e.running())
 		}
 		return n
@@ -28,13 +32,7 @@
 	w.await(8*time.Second, "the gang runs", func() bool { return running() == 12 })
 	time.Sleep(time.Second)
 	if trouble {
-		// srv_flap: period 1.4 s, for 4.2 s.
-		for range 3 {
-			alpha[0].crash()
-			time.Sleep(700 * time.Millisecond)
-			alpha[0].boot()
-			time.Sleep(700 * time.Millisecond)
-		}
+		flap(labelled[0], 4*time.Second)
 	}
 	w.log("no disturbance from here on")
 	state := ""
--- a/review/sim3/executor.go
+++ b/review/sim3/executor.go
@@ -70,10 +70,15 @@
 	answer func(path string) (status int)
 }
 
+// addExecutor adds a machine of kind "a" with its executor to a service.
 func (w *world) addExecutor(service string, n int, capacity resources) *executor {
+	return w.addExecutorOfKind("a", service, n, capacity)
+}
+
+func (w *world) addExecutorOfKind(kind, service string, n int, capacity resources) *executor {
 	e := &executor{
 		w: w, id: fmt.Sprintf("i-%s-%d", service, n), machine: fmt.Sprintf("m-%s-%d", service, n), service: service,
-		zone: w.zones[n%len(w.zones)], rack: fmt.Sprintf("r%d", n), kind: "a", capacity: capacity, guards: true,
+		zone: w.zones[n%len(w.zones)], rack: fmt.Sprintf("r%d", n), kind: kind, capacity: capacity, guards: true,
 		address: w.freeAddress(),
 	}
 	w.mu.Lock()
@@ -302,6 +307,9 @@
 // start begins a run and returns the reason if it cannot; the caller holds the lock.
 func (e *executor) start(b *orderBody) (reason string) {
 	item, ok := e.w.item(b.Task)
+	if ok && item.label != "" && item.label != e.kind {
+		e.w.violate("ROUTE: %s of kind %s was told to start %s, which needs %s", e.id, e.kind, b.Task, item.label)
+	}
 	if !ok {
 		e.w.violate("UNASKED: %s was told to start %s, which no requester sent", e.id, b.Task)
 		return "room"
--- a/review/sim3/world.go
+++ b/review/sim3/world.go
@@ -70,6 +70,8 @@
 	lasts, saves bool
 	// gang is the number of members of its gang, 0 if it is in none.
 	gang int
+	// label is the label that its executor must have, or empty.
+	label string
 }
 
 // seenRun is a run of a work item as its executor saw it.
@@ -286,7 +288,7 @@
 	if s.Gang {
 		members = s.Count
 	}
-	return item{resources{s.CPU, s.MemMB, 0}, takes, s.LongRunning, s.Checkpointing, members}, true
+	return item{resources{s.CPU, s.MemMB, 0}, takes, s.LongRunning, s.Checkpointing, members, s.Requirements}, true
 }
 
 // member is a run of a member of a gang.
