--- a/review/sim3/executor.go
+++ b/review/sim3/executor.go
@@ -171,6 +171,16 @@
 	}
 }
 
+// flap lets an executor go down and up by turns for a time, with a period of 1.4 s.
+func flap(e *executor, during time.Duration) {
+	for began := time.Now(); time.Since(began) < during; {
+		e.crash()
+		time.Sleep(700 * time.Millisecond)
+		e.boot()
+		time.Sleep(700 * time.Millisecond)
+	}
+}
+
 // forget removes the registration, as the platform does after three intervals of silence.
 func (e *executor) forget() { e.w.store.remove("servers", e.id) }
 
--- a/review/sim3/main.go
+++ b/review/sim3/main.go
@@ -10,13 +10,11 @@
 )
 
 var cases = map[string]func(w *world, trouble bool){
-	"counts":      counts,
-	"crashes":     crashes,
-	"forgotten":   forgotten,
-	"gang":        gang,
-	"holders":     holders,
-	"occurrences": occurrences,
-	"schedule":    schedule,
+	"counts":    counts,
+	"forgotten": forgotten,
+	"holders":   holders,
+	"suspects":  suspects,
+	"wave":      wave,
 }
 
 func main() {
--- a/review/sim3/node.go
+++ b/review/sim3/node.go
@@ -31,19 +31,22 @@
 
 // startNodes starts the program of the deploy file once a machine, with settings from its template, and waits until all are ready.
 func (w *world) startNodes(count int, b bounds) {
-	storeAddress, machineAddress := w.serve(w.store.handler()), w.serve(w.machines.handler())
+	if w.storeAddress == "" {
+		w.storeAddress, w.machineAddress = w.serve(w.store.handler()), w.serve(w.machines.handler())
+	}
 	template, err := os.ReadFile("deploy/node.ini.tmpl")
 	if err != nil {
 		w.fail("run it in the root of the repository: %v", err)
 	}
 	run := deployRun(w)
-	for i := range count {
+	for range count {
+		i := len(w.nodes)
 		n := &node{w: w, name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", w.net, 251+i), zone: w.zones[i%len(w.zones)]}
 		ports := freePorts(w, n.ip, 3)
 		n.callers, n.ready = fmt.Sprintf("%s:%d", n.ip, ports[0]), fmt.Sprintf("%s:%d", n.ip, ports[1])
 		fields := map[string]string{
-			"NodeName": n.name, "Zone": n.zone, "Limits.CpuShare": "0.4", "Limits.MemoryMb": "284", "BindAddrs.Frontend": n.callers, "BindAddrs.Ready": n.ready,
-			"Ip": n.ip, "InternalPorts.0": fmt.Sprint(ports[2]), "platform.Address": storeAddress, "CloudApi.Address": machineAddress, "Recommendation": "",
+			"NodeName": n.name, "Zone": n.zone, "Limits.CpuShare": w.cpuShare(i), "Limits.MemoryMb": "284", "BindAddrs.Frontend": n.callers, "BindAddrs.Ready": n.ready,
+			"Ip": n.ip, "InternalPorts.0": fmt.Sprint(ports[2]), "platform.Address": w.storeAddress, "CloudApi.Address": w.machineAddress, "Recommendation": "",
 			"Bounds.LeaseMs": "3000", "Bounds.StopTimeoutMs": "200", "Bounds.MaxHoldMs": "6000", "Bounds.status_s": fmt.Sprint(b.statusS), "Bounds.GraceS": "6",
 		}
 		text := regexp.MustCompile(`\{\{([A-Za-z_.0-9]+)\}\}`).ReplaceAllStringFunc(string(template), func(p string) string {
@@ -69,6 +72,14 @@
 	w.log("all nodes are ready")
 }
 
+// cpuShare returns the share of a core of the next machine.
+func (w *world) cpuShare(i int) string {
+	if i < len(w.cpuShares) {
+		return w.cpuShares[i]
+	}
+	return "0.4"
+}
+
 // deployRun returns the command of the deploy file.
 func deployRun(w *world) string {
 	data, err := os.ReadFile("deploy/system.toml")
@@ -116,13 +127,6 @@
 	}()
 }
 
-func (n *node) signal(s os.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.w.log("signal", "node", n.name, "signal", s)
-	_ = n.cmd.Process.Signal(s)
-}
-
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second}
 	resp, err := c.Get("http://" + n.ready + "/readyz")
@@ -133,12 +137,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// restart starts a process that has ended again, as the platform does after a short delay.
-func (n *node) restart() {
-	<-n.ended
-	n.start(deployRun(n.w))
-}
-
 // await waits until a condition holds; the case cannot run without it.
 func (w *world) await(limit time.Duration, what string, holds func() bool) {
 	if !w.within(limit, holds) {
@@ -156,8 +154,32 @@
 	return holds()
 }
 
+// startOver ends all processes and removes what they have stored, before a case begins.
+func (w *world) startOver() {
+	w.endNodes()
+	w.nodes = nil
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	var own []row
+	for k, r := range w.store.rows {
+		if strings.HasPrefix(k.table, "tamarack_") {
+			own = append(own, r)
+		}
+	}
+	w.store.apply(nil, own)
+}
+
 // close ends all processes that were started.
 func (w *world) close() {
+	w.endNodes()
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(w.dir)
+	} else {
+		fmt.Println("logs of the processes:", w.dir)
+	}
+}
+
+func (w *world) endNodes() {
 	for _, n := range w.nodes {
 		n.mu.Lock()
 		if n.cmd != nil {
@@ -169,9 +191,15 @@
 			<-ended
 		}
 	}
-	if os.Getenv("KEEP_LOGS") == "" {
-		_ = os.RemoveAll(w.dir)
-	} else {
-		fmt.Println("logs of the processes:", w.dir)
+}
+
+// owner returns the node that owns the jobs, by the row of the lease in the store.
+func (w *world) owner() *node {
+	lease := string(w.store.values("tamarack_owner")["lease"])
+	for _, n := range w.nodes {
+		if strings.Contains(lease, n.name+"/") {
+			return n
+		}
 	}
+	return nil
 }
--- a/review/sim3/world.go
+++ b/review/sim3/world.go
@@ -94,6 +94,9 @@
 	store  *store
 	nodes  []*node
 	record *os.File
+	// storeAddress and machineAddress are set by the first startNodes. cpuShares holds the shares of the machines, 0.4 if it is empty.
+	storeAddress, machineAddress string
+	cpuShares                    []string
 
 	mu         sync.Mutex
 	executors  []*executor
@@ -383,6 +386,14 @@
 	return runs
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // machineService is a stand-in of the service of machines.
 type machineService struct {
 	w  *world
