--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Plays the case "gang" of review/sim3; review/build-3.sh builds it. TROUBLE=0 plays it without the disruption.
+# Plays the case "counts" of review/sim3; review/build-3.sh builds it. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/sim3 ] && [ -x target/tamarack-node ] || { echo "build the deploy file and review/build-3.sh first"; exit 2; }
-exec target/sim3 gang review/15
+exec target/sim3 counts review/15
