--- a/review/sim3/case_suspects.go
+++ b/review/sim3/case_suspects.go
@@ -51,7 +51,7 @@
 		}
 		w.log("at the end", "task", task, "not_at_work_in_calm_s", idle.Seconds())
 		if idle > limit {
-			w.violate("LOST: %s was not at work for %.1f s of calm, with 14 cores and more free on its executor", task, idle.Seconds())
+			w.violate("LOST: %s was not at work for %.1f s of calm, with 11 cores and more free on its executor", task, idle.Seconds())
 		}
 	}
 }
