Log when a table has been read again and when a deletion begins

The logs had "history is gone" and "rows of finished jobs deleted", but not when the rows of the full read were delivered. They could not tell a full read that began before a deletion from a late response with changes, nor from a record that was lost.

feed: "table read again" with the versions before and after, the number of rows and the time taken. coordinator: "rows of finished jobs are being deleted" at the start of a deletion, beside the line at its end.

With these lines a trace in package coordinator (slow store, history dropped, jobs 15 s old) shows the order: read again from 14.801 s, deletion 15.181 to 15.501 s, "table read again" at 15.721 s with 38 rows, and in the same millisecond starts of run 1 of two jobs of that deletion. No changes were delivered in between.

--- a/coordinator/purge.go
+++ b/coordinator/purge.go
@@ -27,6 +27,7 @@
 		return
 	}
 	l.purging = true
+	l.log.WithField("jobs", len(expired)).Info("rows of finished jobs are being deleted")
 	go func() {
 		err := l.deleteJobRows(expired)
 		l.emit(purgeDone{expired, err})
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -119,7 +119,13 @@
 // lost is set if the last read failed.
 func readNext(ctx context.Context, o Options, full, lost bool, after uint64) (Batch, uint64, error) {
 	if full {
+		began := time.Now()
 		rows, version, err := ReadAll(ctx, o.Store, o.Table, o.Partitions)
+		if err == nil && after > 0 {
+			o.Log.WithFields(log.Fields{
+				"table": o.Table, "version": version, "after": after, "rows": len(rows), "took_ms": time.Since(began).Milliseconds(),
+			}).Info("table read again")
+		}
 		return Batch{Table: o.Table, Rows: rows, Full: true}, version, err
 	}
 	read := waitForChanges
