Ignore rows that were read before this owner deleted them

Cause: a read of a whole table takes several calls at a slow store, and returns the rows of each partition as of its own version. A row that is deleted after its partition was read is delivered as present. By then the owner has deleted the job's rows and its record and has forgotten the job (Core.Forget), so applyJobs takes the row for a new job without a record.

Ruled out: late changes (all starts are in the millisecond of "table read again", none after other batches); a lost or late record (the records of these jobs had been deleted by this owner a second before); a new owner (the epoch stays 1). A new owner cannot meet it: it reads after its fence, which ends the deletion of records by the former one.

Change: batches of a feed carry the version up to which they include all changes, and are delivered for each successful read. The owner keeps the versions at which it deleted rows of jobs and cancellations, and ignores rows of a batch that are older. It forgets a deletion once the feed of that table has passed its version; no later read can have the row.

Why it works: versions come from one counter of the store, so a row with a lower version than the deletion of its key was read before it, and one with a higher version was stored after it. A job that is submitted again under its ID is therefore still a new one.

The same on related paths: cancellations that are read again were kept for ever and cancelled a later job with the same ID; the same filter covers them.

--- /dev/null
+++ b/coordinator/deletions_test.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/feed"
+	"github.com/tamarackworks/tamarackworks/frontend"
+	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/session"
+	"github.com/tamarackworks/tamarackworks/standin/workers"
+)
+
+// Guards against finished jobs that run again because a read of the whole table began before their rows were deleted and was
+// delivered after that: the store loses its history and is slow while the rows are removed.
+func TestJobsReadBeforeTheirDeletionDoNotRunAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := prepareCluster(t, func(f *workers.Fleet) session.Client { return f })
+		c.retention = 10 * time.Second
+		c.configure()
+		for i := range 4 {
+			c.addExecutor(fmt.Sprintf("x%d", i), fmt.Sprintf("m%d", i))
+		}
+		c.startHosts(2)
+		const jobs = 60
+		var ids []string
+		for i := range jobs {
+			ids = append(ids, fmt.Sprintf("job%d", i))
+			c.submit(ids[i], plainStep(1))
+			time.Sleep(200 * time.Millisecond)
+		}
+		for range 20 {
+			c.store.SetSlow(236 * time.Millisecond)
+			for range 2 {
+				time.Sleep(700 * time.Millisecond)
+				c.store.DropHistory()
+			}
+			time.Sleep(500 * time.Millisecond)
+			c.store.SetSlow(0)
+			time.Sleep(200 * time.Millisecond)
+		}
+		for _, id := range ids {
+			_, ok := c.store.Get(rowstore.Key{Table: frontend.RecordTable, Name: id})
+			assert.Check(t, !ok, "the record of %s is still stored", id)
+		}
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, jobs)
+		c.checkViolations()
+	})
+}
+
+// Guards against a cancellation that is read again after its row was deleted, and then cancels a later job with the same ID.
+func TestCancellationsReadBeforeTheirDeletionAreIgnored(t *testing.T) {
+	key := rowstore.Key{Table: frontend.CancelTable, Partition: "p", Name: "job"}
+	d := newDeletions()
+	d.add(map[rowstore.Key]uint64{key: 10})
+	stale, later := rowstore.Row{Key: key, Version: 5}, rowstore.Row{Key: key, Version: 12}
+	batch := feed.Batch{Table: key.Table, Rows: []rowstore.Row{stale, later}, Full: true, Version: 9}
+	assert.DeepEqual(t, d.filter(batch), []rowstore.Row{later})
+}
+
+// Guards against memory that grows with each removed job: once the feed has passed a deletion, it is forgotten, also if the table had no
+// row to delete.
+func TestDeletionsAreForgottenOnceTheFeedHasPassedThem(t *testing.T) {
+	job := rowstore.Key{Table: frontend.JobTable, Partition: "p", Name: "job"}
+	cancel := rowstore.Key{Table: frontend.CancelTable, Partition: "p", Name: "job"}
+	d := newDeletions()
+	d.add(map[rowstore.Key]uint64{job: 10, cancel: 10})
+	d.filter(feed.Batch{Table: frontend.JobTable, Version: 9})
+	assert.Equal(t, len(d.versions), 2)
+	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
+	assert.DeepEqual(t, d.versions, map[rowstore.Key]uint64{cancel: 10})
+	d.filter(feed.Batch{Table: frontend.CancelTable, Version: 11})
+	assert.Equal(t, len(d.versions), 0)
+}
+
+// Guards against memory that grows without bound while a feed does not get on and jobs are still removed.
+func TestJobsAreRemovedOnlyWhileTheFeedsGetOn(t *testing.T) {
+	d := newDeletions()
+	for i := range maxDeletions {
+		assert.Assert(t, !d.full())
+		d.add(map[rowstore.Key]uint64{{Table: frontend.JobTable, Partition: "p", Name: fmt.Sprint(i)}: 10})
+	}
+	assert.Assert(t, d.full())
+	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
+	assert.Assert(t, !d.full())
+}
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -71,6 +71,7 @@
 	// purging is set while rows of finished jobs are being deleted; nextPurgeAt is when the next deletion may start.
 	purging     bool
 	nextPurgeAt time.Duration
+	deletions   deletions
 	startedAt   time.Duration
 	machines    machineState
 	closures    closureState
@@ -128,7 +129,7 @@
 		lag:       elapsed.NewLag(ctx),
 		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
 		jobRecords: make(map[string]storedJobRecord), loadedJobs: make(map[jobOrigin]int), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
-		startedAt: opts.Now(), commitHedge: minCommitHedge,
+		deletions: newDeletions(), startedAt: opts.Now(), commitHedge: minCommitHedge,
 	}
 	l.machines = newMachineState(l.startedAt + firstOrderDelay)
 	return l
--- a/coordinator/purge.go
+++ b/coordinator/purge.go
@@ -19,7 +19,7 @@
 
 // purge starts to delete the rows of jobs that finished longer than the retention ago.
 func (l *leadership) purge(now time.Duration) {
-	if l.purging || now < l.nextPurgeAt || !l.opts.OwnsJobs() {
+	if l.purging || now < l.nextPurgeAt || l.deletions.full() || !l.opts.OwnsJobs() {
 		return
 	}
 	expired := l.core.TakeExpired(purgeBatch)
@@ -29,19 +29,22 @@
 	l.purging = true
 	l.log.WithField("jobs", len(expired)).Info("rows of finished jobs are being deleted")
 	go func() {
-		err := l.deleteJobRows(expired)
-		l.emit(purgeDone{expired, err})
+		versions, err := l.deleteJobRows(expired)
+		l.emit(purgeDone{expired, versions, err})
 	}()
 }
 
 // purgeDone is the event that a deletion has succeeded or failed.
 type purgeDone struct {
 	jobs []scheduler.ExpiredJob
-	err  error
+	// versions holds the versions at which the rows of the jobs were deleted.
+	versions map[rowstore.Key]uint64
+	err      error
 }
 
-// deleteJobRows deletes each job before its record, because a job without a record would run again.
-func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob) error {
+// deleteJobRows deletes the rows of each job before its record, because a job without a record would run again. It returns the versions
+// at which the rows were deleted.
+func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob) (map[rowstore.Key]uint64, error) {
 	byPartition := make(map[string][]rowstore.Key)
 	for _, x := range expired {
 		// A job may have rows in both partitions. One that is left would be a new job to the next owner.
@@ -51,9 +54,14 @@
 				rowstore.Key{Table: frontend.CancelTable, Partition: partition, Name: x.Job})
 		}
 	}
+	versions := make(map[rowstore.Key]uint64)
 	for _, keys := range byPartition {
-		if err := l.deleteRows(rowstore.Txn{Delete: keys}); err != nil {
-			return err
+		version, err := l.deleteRows(rowstore.Txn{Delete: keys})
+		if err != nil {
+			return nil, err
+		}
+		for _, key := range keys {
+			versions[key] = version
 		}
 	}
 	txn := rowstore.Txn{Expect: []rowstore.Expect{{Key: ownership.FenceKey, Version: l.term.FenceVersion}}}
@@ -62,15 +70,15 @@
 		txn.Expect = append(txn.Expect, rowstore.Expect{Key: key, Version: x.Version})
 		txn.Delete = append(txn.Delete, key)
 	}
-	return l.deleteRows(txn)
+	_, err := l.deleteRows(txn)
+	return versions, err
 }
 
-// deleteRows makes one attempt to commit a deletion; a failed purge is tried again later.
-func (l *leadership) deleteRows(txn rowstore.Txn) error {
+// deleteRows makes one attempt to commit a deletion and returns its version; a failed purge is tried again later.
+func (l *leadership) deleteRows(txn rowstore.Txn) (uint64, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
 	defer cancel()
-	_, err := l.opts.Store.Commit(ctx, txn)
-	return err
+	return l.opts.Store.Commit(ctx, txn)
 }
 
 // handlePurgeDone drops the deleted jobs from the core, or returns them to a later purge.
@@ -84,4 +92,5 @@
 	}
 	l.core.Forget(e.jobs)
 	entry.Info("rows of finished jobs deleted")
+	l.deletions.add(e.versions)
 }
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -24,23 +24,23 @@
 	case l.opts.Directory.ExecutorTable():
 		l.applyExecutors(now, b)
 	case frontend.CancelTable:
-		for _, r := range b.Rows {
+		for _, r := range l.deletions.filter(b) {
 			if !r.Deleted {
 				l.core.Cancel(now, r.Name)
 			}
 		}
 	case frontend.JobTable:
-		l.applyJobs(now, b, loading)
+		l.applyJobs(now, l.deletions.filter(b), loading)
 	}
 }
 
-// applyJobs adds the jobs of a batch to the core.
-func (l *leadership) applyJobs(now time.Duration, b feed.Batch, loading bool) {
+// applyJobs adds the jobs of rows to the core.
+func (l *leadership) applyJobs(now time.Duration, rows []rowstore.Row, loading bool) {
 	var oldest map[string]uint64
 	if loading {
-		oldest = oldestVersions(b.Rows)
+		oldest = oldestVersions(rows)
 	}
-	for _, r := range b.Rows {
+	for _, r := range rows {
 		if r.Deleted {
 			continue
 		}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -40,11 +40,14 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error)
 }
 
-// Batch holds changed rows of a table. A full batch holds all rows of the table; rows missing from it do not exist.
+// Batch holds changed rows of a table, none if nothing has changed. A full batch holds all rows of the table; rows missing from it do
+// not exist. It may have rows that were deleted after Version, because partitions are read at different versions.
 type Batch struct {
 	Table string
 	Rows  []rowstore.Row
 	Full  bool
+	// Version is the version up to which all changes are included. Those of later batches are higher.
+	Version uint64
 }
 
 // Options configure Follow.
@@ -56,7 +59,7 @@
 	// Wait is how long the store waits for a change; 0 means DefaultWait.
 	Wait time.Duration
 	Log  log.Interface
-	// Deliver receives the batches one after another.
+	// Deliver receives the batches one after another, one for each successful read.
 	Deliver func(Batch)
 	// Confirm is called after each successful read, once its rows are delivered: all changes before asOf, on the clock of Now,
 	// have been. It may be nil.
@@ -76,19 +79,17 @@
 	var lostAt time.Time
 	for ctx.Err() == nil {
 		asOf := o.now()
-		batch, version, err := readNext(ctx, o, full, lost, after)
+		batch, err := readNext(ctx, o, full, lost, after)
 		switch {
 		case err == nil:
 			if lost {
 				lost = false
 				o.Log.WithFields(log.Fields{
-					"table": o.Table, "version": version, "after": after, "rows": len(batch.Rows), "lost_ms": time.Since(lostAt).Milliseconds(),
+					"table": o.Table, "version": batch.Version, "after": after, "rows": len(batch.Rows), "lost_ms": time.Since(lostAt).Milliseconds(),
 				}).Info("feed regained")
 			}
-			full, after = false, version
-			if batch.Full || len(batch.Rows) > 0 {
-				o.Deliver(batch)
-			}
+			full, after = false, batch.Version
+			o.Deliver(batch)
 			if o.Confirm != nil {
 				o.Confirm(asOf)
 			}
@@ -115,9 +116,9 @@
 	return o.Now()
 }
 
-// readNext reads the next batch, which is all rows if full is set, else the changes after a version, and returns its version.
+// readNext reads the next batch, which is all rows if full is set, else the changes after a version.
 // lost is set if the last read failed.
-func readNext(ctx context.Context, o Options, full, lost bool, after uint64) (Batch, uint64, error) {
+func readNext(ctx context.Context, o Options, full, lost bool, after uint64) (Batch, error) {
 	if full {
 		began := time.Now()
 		rows, version, err := ReadAll(ctx, o.Store, o.Table, o.Partitions)
@@ -126,14 +127,14 @@
 				"table": o.Table, "version": version, "after": after, "rows": len(rows), "took_ms": time.Since(began).Milliseconds(),
 			}).Info("table read again")
 		}
-		return Batch{Table: o.Table, Rows: rows, Full: true}, version, err
+		return Batch{Table: o.Table, Rows: rows, Full: true, Version: version}, err
 	}
 	read := waitForChanges
 	if lost {
 		read = probeUntilResponse
 	}
 	page, err := read(ctx, o, after)
-	return Batch{Table: o.Table, Rows: page.Rows}, max(page.Version, after), err
+	return Batch{Table: o.Table, Rows: page.Rows, Version: max(page.Version, after)}, err
 }
 
 // waitForChanges reads the changes after a version; the store waits for one if there is none.
