Go on removing finished jobs after a lost response

What callers would see: rows and records of finished jobs stay in the store for the rest of the term, each later one too; a job that is submitted again under such an ID loses its row every 2 s.

Cause: the deletion of records expects their versions. If an attempt was carried out and its response was lost, the next one conflicts, because the records are absent. The job goes back to the others that wait, so each later batch with it conflicts too.

Evidence: TestRemovalGoesOnAfterALostResponse failed before: "rows of finished jobs could not be deleted", with a conflict, every 2.1 s until the end of the test; the records of two later jobs were never removed.

Change: a conflict returns the current rows of the expectations. Records that are not among them are gone; the others are deleted without them. If all are there, another row is at an unexpected version (the fence after a takeover), and the error stands as before.

Why it works: only this owner deletes records in its term, so an absent one was deleted by an earlier attempt of its own.

--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -11,20 +11,16 @@
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 	"github.com/tamarackworks/tamarackworks/session"
+	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/standin/workers"
+	"github.com/tamarackworks/tamarackworks/workload"
 )
 
 // Guards against finished jobs that run again because a read of the whole table began before their rows were deleted and was
 // delivered after that: the store loses its history and is slow while the rows are removed.
 func TestJobsReadBeforeTheirDeletionDoNotRunAgain(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		c := prepareCluster(t, func(f *workers.Fleet) session.Client { return f })
-		c.retention = 10 * time.Second
-		c.configure()
-		for i := range 4 {
-			c.addExecutor(fmt.Sprintf("x%d", i), fmt.Sprintf("m%d", i))
-		}
-		c.startHosts(2)
+		c := newRetentionCluster(t, 10*time.Second)
 		const jobs = 60
 		var ids []string
 		for i := range jobs {
@@ -88,3 +84,59 @@
 	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
 	assert.Assert(t, !d.full())
 }
+
+// Guards against finished jobs that are never removed any more after the response to one deletion of records was lost.
+func TestRemovalGoesOnAfterALostResponse(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newRetentionCluster(t, 10*time.Second)
+		c.submit("first", plainStep(1))
+		c.awaitAll([]string{"first"}, workload.StatusCompleted, 5*time.Second)
+		row := rowstore.Key{Table: frontend.JobTable, Partition: frontend.SubmitPartition("first"), Name: "first"}
+		fallbackRow := rowstore.Key{Table: frontend.JobTable, Partition: frontend.FallbackSubmitPartition("first"), Name: "first"}
+		record := rowstore.Key{Table: frontend.RecordTable, Name: "first"}
+		c.store.Put(fallbackRow, nil)
+		c.ownerHost().handle.SetFault(func(write bool) rows.Fault {
+			_, stored := c.store.Get(row)
+			_, storedTwice := c.store.Get(fallbackRow)
+			_, recorded := c.store.Get(record)
+			if write && !stored && !storedTwice && recorded {
+				return rows.LoseResponse
+			}
+			return rows.None
+		})
+		time.Sleep(5 * time.Second)
+		c.submit("second", plainStep(1))
+		c.awaitRemoval(record)
+		time.Sleep(2 * time.Second)
+		c.submit("third", plainStep(1))
+		for _, id := range []string{"second", "third"} {
+			c.awaitAll([]string{id}, workload.StatusCompleted, 5*time.Second)
+			c.awaitRemoval(rowstore.Key{Table: frontend.RecordTable, Name: id})
+		}
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 3)
+	})
+}
+
+// newRetentionCluster starts two hosts that keep finished jobs for a time, and four executors.
+func newRetentionCluster(t *testing.T, retention time.Duration) *cluster {
+	c := prepareCluster(t, func(f *workers.Fleet) session.Client { return f })
+	c.retention = retention
+	c.configure()
+	for i := range 4 {
+		c.addExecutor(fmt.Sprintf("x%d", i), fmt.Sprintf("m%d", i))
+	}
+	c.startHosts(2)
+	return c
+}
+
+// awaitRemoval waits until a row is removed, at most 30 s.
+func (c *cluster) awaitRemoval(key rowstore.Key) {
+	c.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if _, stored := c.store.Get(key); !stored {
+			return
+		}
+	}
+	c.t.Fatalf("%s/%s is never removed", key.Table, key.Name)
+}
--- a/coordinator/purge.go
+++ b/coordinator/purge.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/ownership"
 	"github.com/tamarackworks/tamarackworks/rowstore"
@@ -64,6 +67,11 @@
 			versions[key] = version
 		}
 	}
+	return versions, l.deleteRecords(expired)
+}
+
+// deleteRecords deletes the records of jobs. Those that are absent already were deleted by an attempt whose response was lost.
+func (l *leadership) deleteRecords(expired []scheduler.ExpiredJob) error {
 	txn := rowstore.Txn{Expect: []rowstore.Expect{{Key: ownership.FenceKey, Version: l.term.FenceVersion}}}
 	for _, x := range expired {
 		key := rowstore.Key{Table: frontend.RecordTable, Name: x.Job}
@@ -71,7 +79,24 @@
 		txn.Delete = append(txn.Delete, key)
 	}
 	_, err := l.deleteRows(txn)
-	return versions, err
+	var conflict *rowstore.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	stored := make(map[rowstore.Key]bool, len(conflict.Rows))
+	for _, r := range conflict.Rows {
+		stored[r.Key] = true
+	}
+	left := slices.DeleteFunc(slices.Clone(expired), func(x scheduler.ExpiredJob) bool {
+		return !stored[rowstore.Key{Table: frontend.RecordTable, Name: x.Job}]
+	})
+	switch len(left) {
+	case 0:
+		return nil
+	case len(expired):
+		return err
+	}
+	return l.deleteRecords(left)
 }
 
 // deleteRows makes one attempt to commit a deletion and returns its version; a failed purge is tried again later.
