Run a job that is submitted again while the finished one is removed

What callers would see: a job that is submitted again under the ID of one that finished longer than the retention ago gets 2xx and never runs, and is unknown soon after, if its row arrives while the owner still removes the rows of the first one.

Cause: until Core.Forget, the row is taken for that of the known job and ignored; then the job is forgotten with the finished one.

Evidence: TestJobSubmittedAgainDuringItsRemovalRuns failed before with one start instead of two.

Change: the newest row that is delivered for a key while its deletion is pending is kept back. Once the versions of the deletion are known, it is applied if it was stored later, and dropped if it was stored before. A failed deletion stays pending, as it may have been carried out.

Why it works: the store orders the deletion and the new row by their versions, whichever the owner learns first.

Not covered: a deletion whose response was lost is repeated without a condition, and then removes a row that was stored in between.

--- a/coordinator/deletions.go
+++ b/coordinator/deletions.go
@@ -1,9 +1,6 @@
 package coordinator
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/tamarackworks/tamarackworks/feed"
 	"github.com/tamarackworks/tamarackworks/rowstore"
 )
@@ -15,22 +12,66 @@
 // a full batch may have rows that were deleted after their partition was read. Versions tell them from rows that were stored under
 // the same key after the deletion.
 type deletions struct {
+	// pending holds the rows whose deletion has begun and is not known to have succeeded, with the newest row that was delivered
+	// for the key meanwhile; nil if there is none.
+	pending map[rowstore.Key]*rowstore.Row
 	// versions holds the versions of deletions that the feed of the table has not passed.
 	versions map[rowstore.Key]uint64
 }
 
 func newDeletions() deletions {
-	return deletions{versions: make(map[rowstore.Key]uint64)}
+	return deletions{pending: make(map[rowstore.Key]*rowstore.Row), versions: make(map[rowstore.Key]uint64)}
+}
+
+// begin records that an attempt to delete rows begins.
+func (d *deletions) begin(keys []rowstore.Key) {
+	for _, key := range keys {
+		if _, ok := d.pending[key]; !ok {
+			d.pending[key] = nil
+		}
+	}
 }
 
-// add records that rows were deleted, each at a version.
-func (d *deletions) add(versions map[rowstore.Key]uint64) { maps.Copy(d.versions, versions) }
+// complete records that rows were deleted, each at a version, and returns the rows that were stored under their keys after that and
+// have been delivered already.
+func (d *deletions) complete(versions map[rowstore.Key]uint64) []rowstore.Row {
+	var stored []rowstore.Row
+	for key, version := range versions {
+		if r := d.pending[key]; r != nil && r.Version > version {
+			stored = append(stored, *r)
+		}
+		delete(d.pending, key)
+		d.versions[key] = version
+	}
+	return stored
+}
 
-// filter returns the rows of a batch without those that this owner has deleted since they were read. Deletions up to the version of the
-// batch are forgotten: no later batch has the rows.
+// filter returns the rows of a batch without those that this owner has deleted since they were read, and keeps back those whose
+// deletion is pending. Deletions up to the version of the batch are forgotten: no later batch has the rows.
 func (d *deletions) filter(b feed.Batch) []rowstore.Row {
-	rows := slices.DeleteFunc(b.Rows, func(r rowstore.Row) bool { return !r.Deleted && r.Version < d.versions[r.Key] })
-	maps.DeleteFunc(d.versions, func(key rowstore.Key, version uint64) bool { return key.Table == b.Table && version <= b.Version })
+	rows := b.Rows
+	if len(d.pending)+len(d.versions) > 0 {
+		rows = nil
+		for _, r := range b.Rows {
+			held, pending := d.pending[r.Key]
+			switch {
+			case r.Deleted:
+			case pending:
+				if held == nil || held.Version < r.Version {
+					d.pending[r.Key] = &r
+				}
+				continue
+			case r.Version < d.versions[r.Key]:
+				continue
+			}
+			rows = append(rows, r)
+		}
+	}
+	for key, version := range d.versions {
+		if key.Table == b.Table && version <= b.Version {
+			delete(d.versions, key)
+		}
+	}
 	return rows
 }
 
--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -52,7 +52,7 @@
 func TestCancellationsReadBeforeTheirDeletionAreIgnored(t *testing.T) {
 	key := rowstore.Key{Table: frontend.CancelTable, Partition: "p", Name: "job"}
 	d := newDeletions()
-	d.add(map[rowstore.Key]uint64{key: 10})
+	d.complete(map[rowstore.Key]uint64{key: 10})
 	stale, later := rowstore.Row{Key: key, Version: 5}, rowstore.Row{Key: key, Version: 12}
 	batch := feed.Batch{Table: key.Table, Rows: []rowstore.Row{stale, later}, Full: true, Version: 9}
 	assert.DeepEqual(t, d.filter(batch), []rowstore.Row{later})
@@ -64,7 +64,7 @@
 	job := rowstore.Key{Table: frontend.JobTable, Partition: "p", Name: "job"}
 	cancel := rowstore.Key{Table: frontend.CancelTable, Partition: "p", Name: "job"}
 	d := newDeletions()
-	d.add(map[rowstore.Key]uint64{job: 10, cancel: 10})
+	d.complete(map[rowstore.Key]uint64{job: 10, cancel: 10})
 	d.filter(feed.Batch{Table: frontend.JobTable, Version: 9})
 	assert.Equal(t, len(d.versions), 2)
 	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
@@ -78,13 +78,33 @@
 	d := newDeletions()
 	for i := range maxDeletions {
 		assert.Assert(t, !d.full())
-		d.add(map[rowstore.Key]uint64{{Table: frontend.JobTable, Partition: "p", Name: fmt.Sprint(i)}: 10})
+		d.complete(map[rowstore.Key]uint64{{Table: frontend.JobTable, Partition: "p", Name: fmt.Sprint(i)}: 10})
 	}
 	assert.Assert(t, d.full())
 	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
 	assert.Assert(t, !d.full())
 }
 
+// Guards against a job that is submitted again under its ID while the rows of the finished one are being removed, and is then taken for
+// that one and forgotten with it.
+func TestJobSubmittedAgainDuringItsRemovalRuns(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newRetentionCluster(t, 10*time.Second)
+		c.submit("job", plainStep(1))
+		c.awaitAll([]string{"job"}, workload.StatusCompleted, 5*time.Second)
+		time.Sleep(8 * time.Second)
+		c.store.SetSlow(300 * time.Millisecond)
+		c.awaitRemoval(rowstore.Key{Table: frontend.JobTable, Partition: frontend.SubmitPartition("job"), Name: "job"})
+		_, recorded := c.store.Get(rowstore.Key{Table: frontend.RecordTable, Name: "job"})
+		assert.Assert(t, recorded, "the removal is over")
+		c.submit("job", plainStep(1))
+		time.Sleep(3 * time.Second)
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 2)
+		c.awaitAll([]string{"job"}, workload.StatusCompleted, 5*time.Second)
+	})
+}
+
 // Guards against finished jobs that are never removed any more after the response to one deletion of records was lost.
 func TestRemovalGoesOnAfterALostResponse(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -241,7 +241,7 @@
 	case commitDone:
 		return l.handleCommitDone(e)
 	case purgeDone:
-		l.handlePurgeDone(e)
+		l.handlePurgeDone(now, e)
 	case permitResponse:
 		l.core.PutPermits(now, e.step, e.permits, e.valid)
 	case machineEvent:
--- a/coordinator/purge.go
+++ b/coordinator/purge.go
@@ -30,9 +30,11 @@
 		return
 	}
 	l.purging = true
+	keys := jobRows(expired)
+	l.deletions.begin(keys)
 	l.log.WithField("jobs", len(expired)).Info("rows of finished jobs are being deleted")
 	go func() {
-		versions, err := l.deleteJobRows(expired)
+		versions, err := l.deleteJobRows(expired, keys)
 		l.emit(purgeDone{expired, versions, err})
 	}()
 }
@@ -45,19 +47,27 @@
 	err      error
 }
 
-// deleteJobRows deletes the rows of each job before its record, because a job without a record would run again. It returns the versions
-// at which the rows were deleted.
-func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob) (map[rowstore.Key]uint64, error) {
-	byPartition := make(map[string][]rowstore.Key)
+// jobRows returns the keys of the rows that other processes wrote for jobs. A job may have rows in both partitions. One that is left
+// would be a new job to the next owner.
+func jobRows(expired []scheduler.ExpiredJob) (keys []rowstore.Key) {
 	for _, x := range expired {
-		// A job may have rows in both partitions. One that is left would be a new job to the next owner.
 		for _, partition := range []string{frontend.SubmitPartition(x.Job), frontend.FallbackSubmitPartition(x.Job)} {
-			byPartition[partition] = append(byPartition[partition],
+			keys = append(keys,
 				rowstore.Key{Table: frontend.JobTable, Partition: partition, Name: x.Job},
 				rowstore.Key{Table: frontend.CancelTable, Partition: partition, Name: x.Job})
 		}
 	}
-	versions := make(map[rowstore.Key]uint64)
+	return keys
+}
+
+// deleteJobRows deletes the rows of each job before its record, because a job without a record would run again. It returns the versions
+// at which the rows were deleted.
+func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob, keys []rowstore.Key) (map[rowstore.Key]uint64, error) {
+	byPartition := make(map[string][]rowstore.Key)
+	for _, key := range keys {
+		byPartition[key.Partition] = append(byPartition[key.Partition], key)
+	}
+	versions := make(map[rowstore.Key]uint64, len(keys))
 	for _, keys := range byPartition {
 		version, err := l.deleteRows(rowstore.Txn{Delete: keys})
 		if err != nil {
@@ -106,8 +116,9 @@
 	return l.opts.Store.Commit(ctx, txn)
 }
 
-// handlePurgeDone drops the deleted jobs from the core, or returns them to a later purge.
-func (l *leadership) handlePurgeDone(e purgeDone) {
+// handlePurgeDone drops the deleted jobs from the core and adds those that were submitted again under their IDs, or returns the jobs to a
+// later purge.
+func (l *leadership) handlePurgeDone(now time.Duration, e purgeDone) {
 	l.purging, l.nextPurgeAt = false, l.opts.Now()+purgeInterval
 	entry := l.log.WithField("jobs", len(e.jobs))
 	if e.err != nil {
@@ -117,5 +128,13 @@
 	}
 	l.core.Forget(e.jobs)
 	entry.Info("rows of finished jobs deleted")
-	l.deletions.add(e.versions)
+	var jobs []rowstore.Row
+	for _, r := range l.deletions.complete(e.versions) {
+		if r.Table == frontend.CancelTable {
+			l.core.Cancel(now, r.Name)
+		} else {
+			jobs = append(jobs, r)
+		}
+	}
+	l.applyJobs(now, jobs, false)
 }
