Leave out jobs with damaged records also when they are read again

What callers would see: a job whose record cannot be read, which a new owner leaves out because its tasks may have run, runs after all once the store has lost its history. Its new record then conflicts with the damaged one, which ends the term of the owner, each time again.

Cause: the records are kept for the first batch of jobs only. When the table is read again, the job is not known and has no record, so it counts as new.

Change: the owner remembers the IDs that it left out until their rows are deleted.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -56,6 +56,8 @@
 	continuable map[string]*atomic.Bool
 	// jobRecords holds the stored job records until all jobs are loaded.
 	jobRecords map[string]storedJobRecord
+	// leftOut holds the jobs that do not run because their records cannot be read or used.
+	leftOut map[string]bool
 	// loadedJobs counts the unfinished jobs that were loaded, by their origin.
 	loadedJobs map[jobOrigin]int
 	rows       *ownerRows
@@ -128,7 +130,7 @@
 		sessions: make(map[string]*session.Session), losses: session.NewLossMonitor(), lateHolds: &session.LateHolds{}, tokens: session.NewTokens(term.Epoch),
 		lag:       elapsed.NewLag(ctx),
 		endpoints: make(map[string]session.Endpoint), continuable: make(map[string]*atomic.Bool),
-		jobRecords: make(map[string]storedJobRecord), loadedJobs: make(map[jobOrigin]int), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
+		jobRecords: make(map[string]storedJobRecord), leftOut: make(map[string]bool), loadedJobs: make(map[jobOrigin]int), rows: newOwnerRows(), executorRecords: make(map[string]executorRecord),
 		deletions: newDeletions(), startedAt: opts.Now(), commitHedge: minCommitHedge,
 	}
 	l.machines = newMachineState(l.startedAt + firstOrderDelay)
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -42,6 +42,10 @@
 	}
 	for _, r := range rows {
 		if r.Deleted {
+			delete(l.leftOut, r.Name)
+			continue
+		}
+		if l.leftOut[r.Name] {
 			continue
 		}
 		origin := originNew
@@ -70,6 +74,7 @@
 	if found && stored.record == nil {
 		// Its tasks may have run already and must not run again.
 		l.log.WithField("job", r.Name).Error("record of a job cannot be read; the job does not run")
+		l.leftOut[r.Name] = true
 		l.addUnreadableJob(inherited)
 		return
 	}
@@ -78,6 +83,7 @@
 		l.core.AddUnstartedJob(now, &job)
 	} else if err := l.core.AddJob(now, &job, stored.record, stored.version, inherited); err != nil {
 		l.log.WithError(err).WithField("job", r.Name).Error("record of a job cannot be used; the job does not run")
+		l.leftOut[r.Name] = true
 		return
 	}
 	if origin != originNew && !known && !(found && stored.record.Status.Final()) {
--- a/coordinator/takeover_test.go
+++ b/coordinator/takeover_test.go
@@ -152,6 +152,27 @@
 	})
 }
 
+// Guards against a job that runs again because its row is read again after the load, when records are no longer looked at: the record of the
+// job is damaged, and the store loses its history.
+func TestJobsWithDamagedRecordsStayLeftOutWhenTheyAreReadAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		c.submit("damaged", plainStep(2))
+		c.awaitAll([]string{"damaged"}, workload.StatusCompleted, 10*time.Second)
+		c.kill(c.ownerHost())
+		c.store.Put(rowstore.Key{Table: frontend.RecordTable, Name: "damaged"}, []byte(`{"s":`))
+		time.Sleep(20 * time.Second)
+		for range 20 {
+			// A feed that has passed all changes goes on without the history.
+			c.store.Put(rowstore.Key{Table: "other", Name: "row"}, nil)
+			c.store.DropHistory()
+			time.Sleep(700 * time.Millisecond)
+		}
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 2)
+	})
+}
+
 // Guards against a job with rows in both of its partitions that is run as two jobs, or that the next owner runs again because one
 // of the rows was not deleted with the record.
 func TestJobWithRowsInBothPartsIsOneJob(t *testing.T) {
