Complete a wave only without machines that are proved to be gone

Cause: planWave skipped the machines of a wave that the last list lacks. That list may be older than the machine or the wave. Without a machine left the wave was completed, and that is never taken back.

Change: a list proves that a machine is out of service if it was requested after the wave was read, with the margin that lists have for executors, or, for lists of several pages, if the next one confirms it. This is the proof that the owner already wants before it takes an executor for ended; both use surveys.proveAbsence now. A machine that is neither listed nor proved to be gone keeps the wave open. One that this owner has never seen listed keeps it open until its planned end, since it may still come; a wave with a wrong name is then completed. The new line "machine of a wave is not in service" says what was left out.

Why it works: the store has the wave only if the operator has written it, and a list that was requested later shows each machine that is in service.

Tests: TestWaveWaitsForMachinesThatNoListHasShownYet and TestWaveAwaitsMachinesThatMayBeInService (new fields) failed before. TestWaveCompletesWithItsLastMachine took a machine for gone only because it was not listed, which is the fault; it now says that lists have shown and then excluded it, and is as strict otherwise.

--- a/coordinator/absence.go
+++ b/coordinator/absence.go
@@ -82,8 +82,7 @@
 	case s.executors[x.executor] || s.unidentified:
 		return false
 	case x.machine != "":
-		_, listed := s.machines[x.machine]
-		return !listed
+		return s.lacksMachine(x.machine)
 	case x.pool == "":
 		return len(s.vacant) == 0
 	}
@@ -140,14 +139,29 @@
 		}
 		return unconfirmed
 	}
-	if !v.last.lacks(x) {
+	switch {
+	case !v.last.lacks(x):
 		return mayRun
-	}
-	if inTime && v.last.pages <= 1 {
-		return ended
-	}
-	if v.earlierComplete && v.earlier.requestedAt > since+listMargin && v.earlier.lacks(x) {
+	case v.proveAbsence(since, func(s *survey) bool { return s.lacks(x) }):
 		return ended
 	}
 	return unconfirmed
 }
+
+// proveAbsence reports whether the surveys prove that something is absent which was known at a time: a complete survey that was requested
+// listMargin later lacks it, and so do all later ones.
+func (v *surveys) proveAbsence(knownAt time.Duration, lacks func(*survey) bool) bool {
+	switch {
+	case v.last == nil || !lacks(v.last):
+		return false
+	case v.last.pages <= 1 && v.last.requestedAt > knownAt+listMargin:
+		return true
+	}
+	return v.earlierComplete && v.earlier.requestedAt > knownAt+listMargin && lacks(v.earlier)
+}
+
+// lacksMachine reports whether a machine is not listed.
+func (s *survey) lacksMachine(id string) bool {
+	_, listed := s.machines[id]
+	return !listed && !s.unidentified
+}
--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -49,6 +49,8 @@
 	listing bool
 	pools   []workload.Service
 	waves   map[string]*pools.Wave
+	// wavesReadAt is when this owner read each wave, by name.
+	wavesReadAt map[string]time.Duration
 	// progress is the stored progress of each wave, by name.
 	progress map[string]waveProgress
 	// pendingOrders holds orders without an outcome; they are sent once they are stored as recent orders.
@@ -76,7 +78,7 @@
 
 func newMachineState(firstOrderAt time.Duration) machineState {
 	return machineState{
-		ordersAllowedAt: firstOrderAt, waves: make(map[string]*pools.Wave), progress: make(map[string]waveProgress),
+		ordersAllowedAt: firstOrderAt, waves: make(map[string]*pools.Wave), wavesReadAt: make(map[string]time.Duration), progress: make(map[string]waveProgress),
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
 		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), turns: newTurnState(), endedIncarnations: make(map[string]int64),
@@ -285,6 +287,7 @@
 		m.surveys.add(newSurvey(e.list, e.pages, e.sentAt))
 		m.setList(e.list, e.sentAt)
 		l.locateExecutors(e.list)
+		l.locateWaveMachines()
 		for i := range m.list {
 			if at, ok := m.confirmedAt[m.list[i].ID]; ok && e.sentAt < at {
 				m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
--- a/coordinator/waves.go
+++ b/coordinator/waves.go
@@ -24,7 +24,7 @@
 	if l.machines.waves[name] != nil {
 		return
 	}
-	w := &pools.Wave{Wave: wave, Name: name, Started: now, Begun: make(map[string]bool)}
+	w := &pools.Wave{Wave: wave, Name: name, Started: now, Begun: make(map[string]bool), Listed: make(map[string]bool), Gone: make(map[string]bool)}
 	progress, known := l.machines.progress[name]
 	if known {
 		w.Started = now - max(0, time.Duration(l.opts.WallMS()-progress.StartedUnixMS)*time.Millisecond)
@@ -32,7 +32,7 @@
 	for _, id := range progress.Begun {
 		w.Begun[id] = true
 	}
-	l.machines.waves[name] = w
+	l.machines.waves[name], l.machines.wavesReadAt[name] = w, now
 	if !known {
 		l.storeWaveProgress(now)
 	}
@@ -52,6 +52,26 @@
 	l.rows.put(row.Key, row.Value)
 }
 
+// locateWaveMachines notes which machines of unfinished waves the last list shows, and which are certainly out of service.
+func (l *leadership) locateWaveMachines() {
+	m := &l.machines
+	for name, w := range m.waves {
+		if w.Completed {
+			continue
+		}
+		for _, id := range w.Machines {
+			if _, listed := m.index[id]; listed {
+				w.Listed[id] = true
+			}
+			gone := m.surveys.proveAbsence(m.wavesReadAt[name], func(s *survey) bool { return s.lacksMachine(id) })
+			if gone && !w.Gone[id] {
+				l.log.WithFields(log.Fields{"wave": name, "machine": id, "was_listed": w.Listed[id], "begun": w.Begun[id]}).Info("machine of a wave is not in service")
+			}
+			w.Gone[id] = gone
+		}
+	}
+}
+
 func (l *leadership) anyWaveUnfinished() bool {
 	for _, w := range l.machines.waves {
 		if !w.Completed {
--- /dev/null
+++ b/coordinator/waves_test.go
@@ -0,0 +1,68 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/workload"
+)
+
+// requestWave stores an operator's wave of some machines, one at a time.
+func (c *cluster) requestWave(number int, duration time.Duration, machines ...string) {
+	c.t.Helper()
+	wave, err := json.Marshal(workload.Wave{Number: number, Machines: machines, Duration: duration, MaxAtOnce: 1})
+	assert.NilError(c.t, err)
+	c.store.Put(rowstore.Key{Table: "operator", Name: fmt.Sprintf("wave/%d", number)}, wave)
+}
+
+// awaitWave waits until a wave is reported as completed, at most limit.
+func (c *cluster) awaitWave(number int, limit time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if c.waveCompleted(number) {
+			return
+		}
+	}
+	c.t.Fatalf("wave %d is not completed after %s", number, limit)
+}
+
+func (c *cluster) waveCompleted(number int) bool {
+	row, ok := c.store.Get(rowstore.Key{Table: "status", Name: fmt.Sprintf("wave/%d", number)})
+	return ok && string(row.Value) == "true"
+}
+
+// maintenances returns the machines that have had their maintenance, in order.
+func (m *testMachines) maintenances() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.maintained)
+}
+
+// Guards against a wave that is completed without a machine which is too new for the last list: the machine service does not respond from
+// before the machine comes until after the wave is requested.
+func TestWaveWaitsForMachinesThatNoListHasShownYet(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 3)
+		time.Sleep(5 * time.Second)
+		for n := range 3 {
+			c.machines.silent.Store(true)
+			machine := fmt.Sprintf("m%d", 10+n)
+			c.machines.mu.Lock()
+			c.addExecutor(fmt.Sprintf("x%d", 10+n), machine)
+			c.machines.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			c.requestWave(n+1, 26*time.Second, machine)
+			time.Sleep(time.Second)
+			assert.Assert(t, !c.waveCompleted(n+1), "no list shows %s yet", machine)
+			c.machines.silent.Store(false)
+			c.awaitWave(n+1, 20*time.Second)
+			assert.Assert(t, slices.Contains(c.machines.maintenances(), machine), "the wave is completed without %s", machine)
+		}
+	})
+}
--- a/coordinator/world_test.go
+++ b/coordinator/world_test.go
@@ -76,13 +76,19 @@
 	store *rows.Store
 	// refuse makes the service reject all orders with ErrNotDone.
 	refuse atomic.Bool
+	// silent makes the service leave requests for the list without a response.
+	silent atomic.Bool
 	// pageSize bounds the machines of a page; 0 lists all in one page. betweenPages is called between the reads of two pages.
 	pageSize     int
 	betweenPages func()
 }
 
 // List reads pages as the platform serves them: by the offset into the machines of that moment, ordered by ID.
-func (m *testMachines) List(context.Context) (list []workload.Machine, pages int, err error) {
+func (m *testMachines) List(ctx context.Context) (list []workload.Machine, pages int, err error) {
+	if m.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, pools.ErrNoResponse
+	}
 	for {
 		page, more, between := m.page(len(list))
 		list = append(list, page...)
--- a/pools/pools.go
+++ b/pools/pools.go
@@ -65,6 +65,9 @@
 	Started time.Duration
 	// Begun holds the machines whose maintenance was ordered and confirmed.
 	Begun map[string]bool
+	// Listed holds the machines that a list has shown to this owner. Gone holds those that are certainly not in service as of the last
+	// list.
+	Listed, Gone map[string]bool
 	// Completed is set when completion was reported to the operator.
 	Completed bool
 }
--- a/pools/pools_test.go
+++ b/pools/pools_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -171,16 +172,44 @@
 	assert.Equal(t, orders, 1)
 }
 
-// Guards against a wave that completes before each of its listed machines has begun its maintenance, and against one that never
-// completes because a machine is gone.
+// Guards against a wave that completes before each of its machines has begun its maintenance, and against one that never completes
+// because a machine is gone.
 func TestWaveCompletesWithItsLastMachine(t *testing.T) {
-	w := &Wave{Wave: workload.Wave{Machines: []string{"m0", "gone"}, Duration: time.Minute}, Begun: map[string]bool{}}
+	w := &Wave{
+		Wave: workload.Wave{Machines: []string{"m0", "gone"}, Duration: time.Minute}, Begun: map[string]bool{},
+		Listed: map[string]bool{"m0": true, "gone": true}, Gone: map[string]bool{"gone": true},
+	}
 	s := Snapshot{Waves: []*Wave{w}, Machines: []Machine{machine("m0", "a", 0)}}
 	assert.Equal(t, PlanWaves(s)[0].Kind, ActionMaintain)
 	w.Begun["m0"] = true
 	assert.Equal(t, PlanWaves(s)[0].Kind, ActionComplete)
 }
 
+// Guards against a wave that completes without a machine that the last list does not show, although that does not prove that it is out
+// of service, and against one that stays open for a machine that does not exist.
+func TestWaveAwaitsMachinesThatMayBeInService(t *testing.T) {
+	yes := map[string]bool{"m1": true}
+	for _, c := range []struct {
+		name                string
+		begun, listed, gone map[string]bool
+		now                 time.Duration
+		completes           bool
+	}{
+		{name: "not listed yet"},
+		{name: "not listed yet, and the wave is late", now: 70 * time.Second},
+		{name: "listed before", listed: yes},
+		{name: "listed before and gone", listed: yes, gone: yes, completes: true},
+		{name: "begun, then missing", begun: yes, listed: yes, completes: true},
+		{name: "never listed, not in service", gone: yes, now: 41 * time.Second},
+		{name: "never listed, not in service until the planned end", gone: yes, now: 43 * time.Second, completes: true},
+	} {
+		w := &Wave{Wave: workload.Wave{Machines: []string{"m0", "m1"}, Duration: time.Minute}, Begun: map[string]bool{"m0": true}, Listed: c.listed, Gone: c.gone}
+		maps.Copy(w.Begun, c.begun)
+		actions := PlanWaves(Snapshot{Now: c.now, Waves: []*Wave{w}, Machines: []Machine{machine("m0", "a", 0)}})
+		assert.Equal(t, len(actions) == 1 && actions[0].Kind == ActionComplete, c.completes, c.name)
+	}
+}
+
 // Guards against a wave that takes many machines down at once while work waits, although it has time.
 func TestWaveIsSlowWhileWorkWaits(t *testing.T) {
 	w := &Wave{Wave: workload.Wave{Duration: 60 * time.Second, MaxAtOnce: 10}, Begun: map[string]bool{}}
--- a/pools/waves.go
+++ b/pools/waves.go
@@ -34,13 +34,16 @@
 	return actions
 }
 
-// planWave plans the next actions of one wave. Machines that are not listed any more are skipped.
+// planWave plans the next actions of one wave. Machines that are out of service for good are skipped.
 func planWave(s Snapshot, w *Wave, machines map[string]*Machine) []Action {
 	var pending []*Machine
-	down := 0
+	down, awaited := 0, 0
 	for _, id := range w.Machines {
 		m := machines[id]
 		if m == nil {
+			if !w.Begun[id] && !w.leavesOut(id, s.Now) {
+				awaited++
+			}
 			continue
 		}
 		switch {
@@ -57,6 +60,9 @@
 		}
 	}
 	if len(pending) == 0 {
+		if awaited > 0 {
+			return nil
+		}
 		return []Action{{Kind: ActionComplete, Wave: w, Reason: "all machines have begun their upkeep"}}
 	}
 	backlogged := s.poolsWithBacklog()
@@ -86,6 +92,13 @@
 	return actions
 }
 
+// leavesOut reports whether the wave is completed without a machine that is not listed. It answers machines that come while the machine
+// service is slow or silent: the last list may be older than the machine. One that was never listed may still come until the planned end
+// of the wave; the operator may also have named a machine that does not exist.
+func (w *Wave) leavesOut(machine string, now time.Duration) bool {
+	return w.Gone[machine] && (w.Listed[machine] || now >= w.plannedEnd())
+}
+
 // cordonQuota limits the machines that are cordoned because their maintenance is next. Cordoned machines are missing in a burst,
 // so their number is no larger than the wave needs to end in time.
 type cordonQuota struct {
