Keep a completed wave completed across a takeover

What callers would see: after a takeover, status/wave/N of a completed wave is "running" for a moment.

Cause: the stored progress of a wave did not say that it was completed, so a new owner planned it again.

Evidence: TestCompletedWavesStayCompletedAcrossTakeovers failed before: the status goes back to running.

Change: the progress has Completed.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -221,6 +221,7 @@
 		a.Wave.Completed = true
 		l.log.WithFields(log.Fields{"wave": a.Wave.Name, "took_ms": (now - a.Wave.Started).Milliseconds()}).Info("wave completed")
 		l.storeWaveStatus(a.Wave)
+		l.storeWaveProgress(now)
 		return false
 	case pools.ActionCordon, pools.ActionUncordon:
 		if id := l.executorOf(a.Machine); id != "" {
--- a/coordinator/waves.go
+++ b/coordinator/waves.go
@@ -17,6 +17,8 @@
 	StartedUnixMS int64 `json:"started"`
 	// Begun holds the machines whose maintenance has begun.
 	Begun []string `json:"begun,omitempty"`
+	// Completed is set once the wave was reported as completed.
+	Completed bool `json:"completed,omitempty"`
 }
 
 // addWave adds a wave that the operator requested, with the progress that a former owner stored.
@@ -32,6 +34,7 @@
 	for _, id := range progress.Begun {
 		w.Begun[id] = true
 	}
+	w.Completed = progress.Completed
 	l.machines.waves[name], l.machines.wavesReadAt[name] = w, now
 	if !known {
 		l.storeWaveProgress(now)
@@ -106,7 +109,7 @@
 func (l *leadership) storeWaveProgress(now time.Duration) {
 	progress := make(map[string]waveProgress)
 	for name, w := range l.machines.waves {
-		p := waveProgress{StartedUnixMS: l.opts.WallMS() - (now - w.Started).Milliseconds()}
+		p := waveProgress{StartedUnixMS: l.opts.WallMS() - (now - w.Started).Milliseconds(), Completed: w.Completed}
 		if old, ok := l.machines.progress[name]; ok {
 			p.StartedUnixMS = old.StartedUnixMS
 		}
--- a/coordinator/waves_test.go
+++ b/coordinator/waves_test.go
@@ -66,3 +66,19 @@
 		}
 	})
 }
+
+// Guards against a completed wave that a new owner reports as running again.
+func TestCompletedWavesStayCompletedAcrossTakeovers(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 2)
+		time.Sleep(time.Second)
+		c.requestWave(1, 20*time.Second, "m0", "unknown")
+		c.awaitWave(1, 20*time.Second)
+		c.kill(c.ownerHost())
+		for range 250 {
+			assert.Assert(t, c.waveCompleted(1))
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, c.ownerHost() != nil)
+	})
+}
