Keep the progress of all waves when a new owner reads another one

Cause: rows are read in the order of their names, so "wave/10" comes before "wave/2". If the former owner had not read wave/10 yet, its progress was stored at once, and that dropped the progress of the waves that were not added yet.

Evidence: TestWavesKeepTheirProgressBesideANewWave failed before: the owner is killed and wave/10 is requested before the next one has read the table; wave/2 had a new start and no machine begun.

Change: the progress is stored after all rows of a batch are applied.

--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -109,6 +109,7 @@
 
 // applyOperator applies configurations and adds waves.
 func (l *leadership) applyOperator(now time.Duration, b feed.Batch) {
+	wavesBegin := false
 	for _, r := range b.Rows {
 		if r.Deleted {
 			continue
@@ -122,9 +123,13 @@
 			l.storeRouteHistory()
 			l.machines.configure(config)
 		case wave != nil:
-			l.addWave(now, r.Name, *wave)
+			wavesBegin = l.addWave(now, r.Name, *wave) || wavesBegin
 		}
 	}
+	if wavesBegin {
+		// Only now are all waves of the batch known: those that are not known lose their progress.
+		l.storeWaveProgress(now)
+	}
 }
 
 // storeRouteHistory puts the history of the queues' services into the owner's rows if it has changed.
--- a/coordinator/waves.go
+++ b/coordinator/waves.go
@@ -21,10 +21,10 @@
 	Completed bool `json:"completed,omitempty"`
 }
 
-// addWave adds a wave that the operator requested, with the progress that a former owner stored.
-func (l *leadership) addWave(now time.Duration, name string, wave workload.Wave) {
+// addWave adds a wave that the operator requested, with the progress that a former owner stored. It returns true if there is none.
+func (l *leadership) addWave(now time.Duration, name string, wave workload.Wave) bool {
 	if l.machines.waves[name] != nil {
-		return
+		return false
 	}
 	w := &pools.Wave{Wave: wave, Name: name, Started: now, Begun: make(map[string]bool), Listed: make(map[string]bool), Gone: make(map[string]bool)}
 	progress, known := l.machines.progress[name]
@@ -36,13 +36,11 @@
 	}
 	w.Completed = progress.Completed
 	l.machines.waves[name], l.machines.wavesReadAt[name] = w, now
-	if !known {
-		l.storeWaveProgress(now)
-	}
 	l.log.WithFields(log.Fields{
 		"wave": name, "machines": len(wave.Machines), "at_once": wave.MaxAtOnce, "duration_s": wave.Duration.Seconds(),
 	}).Info("wave requested")
 	l.storeWaveStatus(w)
+	return !known
 }
 
 // storeWaveStatus puts the status row for the operator into the owner's rows.
--- a/coordinator/waves_test.go
+++ b/coordinator/waves_test.go
@@ -82,3 +82,35 @@
 		assert.Assert(t, c.ownerHost() != nil)
 	})
 }
+
+// Guards against the progress of a wave that is lost because a new owner reads another one first: rows come in the order of their names,
+// and "wave/10" is before "wave/2".
+func TestWavesKeepTheirProgressBesideANewWave(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newCluster(t, 2, 4)
+		time.Sleep(time.Second)
+		c.requestWave(2, 40*time.Second, "m1", "m2")
+		for len(c.machines.maintenances()) < 1 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		c.machines.refuse.Store(true)
+		time.Sleep(200 * time.Millisecond)
+		before := c.waveProgress()["wave/2"]
+		assert.Equal(t, len(before.Begun), 1)
+		c.kill(c.ownerHost())
+		c.requestWave(10, 40*time.Second, "m3")
+		time.Sleep(5 * time.Second)
+		after := c.waveProgress()
+		assert.Assert(t, after["wave/10"].StartedUnixMS > 0, "the new owner has read the waves")
+		assert.DeepEqual(t, after["wave/2"], before)
+	})
+}
+
+// waveProgress returns the stored progress of the waves by name.
+func (c *cluster) waveProgress() (progress map[string]waveProgress) {
+	c.t.Helper()
+	row, ok := c.store.Get(waveProgressKey)
+	assert.Assert(c.t, ok)
+	assert.NilError(c.t, json.Unmarshal(row.Value, &progress))
+	return progress
+}
