Count a job as begun only once a run of it is known

Cause: startTask set job.started when a start was ordered, and nothing took that back when the executor refused it, had no room, or did not accept the permit, or when a report showed later that an order without a response had not been carried out.

Ruled out: old values at the other nodes (they ask the owner, and all three said 0 for seconds); jobs that the owner did not know (the log has "task starts" and "start refused" for each of them, by turns); these lines were sufficient.

Change: started is set by what proves a run: an accepted start, a report that lists one, an end of one, or a record that has its failure, checkpoint or completion. An order under way or without a response proves nothing; the job is pending until a report shows it.

--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -384,7 +384,7 @@
 	return workload.StatusQueued, true
 }
 
-// QueueLength returns the number of jobs of a queue that are not final and of which no task has started.
+// QueueLength returns the number of jobs of a queue that are not final and of which no task is known to have started.
 func (c *Core) QueueLength(route string) int {
 	n := 0
 	for _, jobs := range c.activeJobs {
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -121,6 +121,9 @@
 		outcome = StartUnclear
 	}
 	notBefore := now
+	if outcome == StartAccepted {
+		t.job.started = true
+	}
 	switch outcome {
 	case StartAccepted, StartUnclear:
 		t.job.slowestStart = max(t.job.slowestStart, now-t.orderedAt)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -384,7 +384,6 @@
 	if t.suspect() {
 		e.suspect = t
 	}
-	t.job.started = true
 	permit := ""
 	if c.needsPermit(t) {
 		permit = t.step.permits.answers[e.info.ID].permit
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -143,6 +143,9 @@
 // in the first report of an incarnation.
 func (c *Core) handleRunning(now time.Duration, e *executor, x workload.RunningTask, sentAt time.Duration, restarted bool) bool {
 	t := c.task(x.Task)
+	if t != nil {
+		t.job.started = true
+	}
 	switch {
 	case t == nil:
 		c.stopUnwanted(now, e, x.Task, x.Run, "no job needs it")
@@ -193,7 +196,6 @@
 	if x.Checkpoint != "" {
 		t.checkpoint = x.Checkpoint
 	}
-	t.job.started = true
 	t.recordUnstartedSteps(x.Run)
 	e.attach(t)
 	fields := map[string]any{"executor": e.info.ID, "run": x.Run}
@@ -222,6 +224,7 @@
 	if t == nil {
 		return
 	}
+	t.job.started = true
 	if x.Checkpoint != "" {
 		t.checkpoint = x.Checkpoint
 	}
@@ -288,7 +291,6 @@
 		m.step.remaining--
 		m.step.occ.remaining--
 	}
-	t.job.started = true
 	c.markRecordDirty(t.job)
 	c.dirtyServices[t.job.service] = true
 }
@@ -315,7 +317,6 @@
 	}
 	// Records of a commit in progress share the slice, so it must not be changed in place.
 	t.failedRuns = append(slices.Clone(t.failedRuns), run)
-	t.job.started = true
 	c.markRecordDirty(t.job)
 	failures := len(t.failedRuns)
 	if t.step.spec.Gang {
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -216,7 +216,7 @@
 	// onlyService is the one service on whose executors an earlier owner can have started tasks of an inherited job. It is empty if
 	// there may be others.
 	onlyService string
-	// started is set once a task was started or had been started under an earlier owner.
+	// started is set once it is known that a run of a task has begun, for this owner or an earlier one.
 	started bool
 	status  workload.Status
 	// durableStatus is the last status that was stored.
