Tell from the record of a job whether it has begun

What callers would see after a takeover: a recurring job with completed occurrences counts as pending and is shown as queued until a report lists a run of it; a job that only has crashes of executors during its starts is shown as running.

Cause: restore did not look at completed occurrences, and took any retry record for a run.

Evidence: TestRecordsTellWhetherAJobHasBegun failed before in these two cases.

--- a/scheduler/pending_test.go
+++ b/scheduler/pending_test.go
@@ -56,3 +56,28 @@
 		}
 	}
 }
+
+// Guards against a new owner that counts a recurring job with completed occurrences as pending, or a job as begun of which it knows only that
+// executors crashed while its starts were under way.
+func TestRecordsTellWhetherAJobHasBegun(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		record     Record
+		recurrence *workload.Recurrence
+		pending    int
+	}{
+		{"no progress", Record{}, nil, 1},
+		{"a crash during a start", Record{Occurrences: []OccurrenceRecord{{}}, Retries: []RetryRecord{{Crashes: 1}}}, nil, 1},
+		{"a failed run", Record{Occurrences: []OccurrenceRecord{{}}, Retries: []RetryRecord{{FailedRuns: []int{1}}}}, nil, 0},
+		{"a checkpoint", Record{Occurrences: []OccurrenceRecord{{}}, Retries: []RetryRecord{{Checkpoint: "c"}}}, nil, 0},
+		{"a task is done", Record{Occurrences: []OccurrenceRecord{{Steps: []string{"01"}}}}, nil, 0},
+		{"an occurrence is done", Record{Occurrences: []OccurrenceRecord{{Done: true}}}, &workload.Recurrence{Count: 3, Interval: 1000}, 0},
+	} {
+		h := newHarness(t, 0)
+		assert.NilError(t, h.core.AddJob(h.now, &workload.Job{
+			ID: "job", Route: "queue", Service: service, ConfigVersion: 1, Recurrence: c.recurrence,
+			Steps: []workload.Step{{Count: 2, Size: workload.Resources{CPUMilli: 1000}, Estimate: 500}},
+		}, &c.record, 1, true))
+		assert.Equal(t, h.core.QueueLength("queue"), c.pending, c.name)
+	}
+}
--- a/scheduler/record.go
+++ b/scheduler/record.go
@@ -120,7 +120,7 @@
 	}
 	for _, rec := range r.Occurrences {
 		if rec.Done {
-			j.doneOccs[rec.Number] = true
+			j.doneOccs[rec.Number], j.started = true, true
 			continue
 		}
 		if err := j.occurrence(rec.Number).restore(rec.Steps); err != nil {
@@ -138,7 +138,8 @@
 		for _, run := range rec.FailedRuns {
 			t.endedRun = max(t.endedRun, run)
 		}
-		j.started = true
+		// An executor may have crashed before it began the run.
+		j.started = j.started || len(rec.FailedRuns) > 0 || rec.Checkpoint != ""
 	}
 	return nil
 }
