Remove the records of finished jobs whose rows a former owner deleted

What callers would see: if an owner is lost between the deletion of a job's rows and that of its record, the record stays in the store for good. A job that is submitted under that ID later conflicts with it, which ends the term of the owner; the next one shows the job as completed although it never ran.

Evidence: TestRecordsWithoutJobsAreRemoved failed before: the record is never removed.

Change: a new owner removes final records without rows like other finished jobs. Rows that are submitted under their IDs wait until that is done.

Why it works: rows are deleted before records, and the new owner reads both after its fence, so a final record without rows cannot get rows again but by a new submission. Damaged and unfinished records are left as they are.

--- a/coordinator/deletions.go
+++ b/coordinator/deletions.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tamarackworks/tamarackworks/feed"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/scheduler"
 )
 
 // maxDeletions bounds the rows whose deletion a feed has not passed; further deletions wait.
@@ -23,11 +24,13 @@
 	return deletions{pending: make(map[rowstore.Key]*rowstore.Row), versions: make(map[rowstore.Key]uint64)}
 }
 
-// begin records that an attempt to delete rows begins.
-func (d *deletions) begin(keys []rowstore.Key) {
-	for _, key := range keys {
-		if _, ok := d.pending[key]; !ok {
-			d.pending[key] = nil
+// begin records that jobs are to be deleted.
+func (d *deletions) begin(expired []scheduler.ExpiredJob) {
+	for _, x := range expired {
+		for _, key := range jobRows(x.Job) {
+			if _, ok := d.pending[key]; !ok {
+				d.pending[key] = nil
+			}
 		}
 	}
 }
--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -138,6 +138,36 @@
 	})
 }
 
+// Guards against the record of a finished job that stays in the store for good because its owner was lost between the deletion of the rows
+// and that of the record, and against a job with the same ID that takes it for its own.
+func TestRecordsWithoutJobsAreRemoved(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newRetentionCluster(t, 10*time.Second)
+		ids := []string{"job", "again"}
+		for _, id := range ids {
+			c.submit(id, plainStep(1))
+		}
+		c.awaitAll(ids, workload.StatusCompleted, 5*time.Second)
+		c.kill(c.ownerHost())
+		for _, id := range ids {
+			c.store.Delete(rowstore.Key{Table: frontend.JobTable, Partition: frontend.SubmitPartition(id), Name: id})
+		}
+		for c.ownerHost() == nil {
+			time.Sleep(5 * time.Millisecond)
+		}
+		// The state is loaded, and the records are not removed yet.
+		time.Sleep(50 * time.Millisecond)
+		owner := c.ownerHost()
+		c.submit("again", plainStep(1))
+		c.awaitRemoval(rowstore.Key{Table: frontend.RecordTable, Name: "job"})
+		time.Sleep(5 * time.Second)
+		c.awaitAll([]string{"again"}, workload.StatusCompleted, time.Second)
+		starts, _ := c.fleet.Counts()
+		assert.Equal(t, starts, 3)
+		assert.Equal(t, c.ownerHost(), owner, "its term goes on")
+	})
+}
+
 // newRetentionCluster starts two hosts that keep finished jobs for a time, and four executors.
 func newRetentionCluster(t *testing.T, retention time.Duration) *cluster {
 	c := prepareCluster(t, func(f *workers.Fleet) session.Client { return f })
--- a/coordinator/load.go
+++ b/coordinator/load.go
@@ -145,10 +145,16 @@
 // the executors with stored records: only they can run tasks for an earlier owner.
 func (l *leadership) loadTables(followed []<-chan feed.Batch) error {
 	inherited := maps.Clone(l.executorRecords)
+	submitted := make(map[string]bool)
 	for _, first := range followed {
 		select {
 		case b := <-first:
 			l.applyBatch(b, true)
+			if b.Table == frontend.JobTable {
+				for _, r := range b.Rows {
+					submitted[r.Name] = true
+				}
+			}
 		case <-l.ctx.Done():
 			return l.ctx.Err()
 		}
@@ -161,6 +167,7 @@
 		"took_ms": (l.opts.Now() - l.startedAt).Milliseconds(),
 	}).Info("state loaded")
 	l.resumeInherited(inherited)
+	l.removeOrphanedRecords(submitted)
 	l.jobRecords = nil
 	return nil
 }
--- a/coordinator/purge.go
+++ b/coordinator/purge.go
@@ -30,11 +30,10 @@
 		return
 	}
 	l.purging = true
-	keys := jobRows(expired)
-	l.deletions.begin(keys)
+	l.deletions.begin(expired)
 	l.log.WithField("jobs", len(expired)).Info("rows of finished jobs are being deleted")
 	go func() {
-		versions, err := l.deleteJobRows(expired, keys)
+		versions, err := l.deleteJobRows(expired)
 		l.emit(purgeDone{expired, versions, err})
 	}()
 }
@@ -47,27 +46,47 @@
 	err      error
 }
 
-// jobRows returns the keys of the rows that other processes wrote for jobs. A job may have rows in both partitions. One that is left
-// would be a new job to the next owner.
-func jobRows(expired []scheduler.ExpiredJob) (keys []rowstore.Key) {
-	for _, x := range expired {
-		for _, partition := range []string{frontend.SubmitPartition(x.Job), frontend.FallbackSubmitPartition(x.Job)} {
-			keys = append(keys,
-				rowstore.Key{Table: frontend.JobTable, Partition: partition, Name: x.Job},
-				rowstore.Key{Table: frontend.CancelTable, Partition: partition, Name: x.Job})
-		}
+// jobRows returns the keys of the rows that other processes may have written for a job. A job may have rows in both partitions. One that is
+// left would be a new job to the next owner.
+func jobRows(job string) (keys []rowstore.Key) {
+	for _, partition := range []string{frontend.SubmitPartition(job), frontend.FallbackSubmitPartition(job)} {
+		keys = append(keys,
+			rowstore.Key{Table: frontend.JobTable, Partition: partition, Name: job},
+			rowstore.Key{Table: frontend.CancelTable, Partition: partition, Name: job})
 	}
 	return keys
 }
 
+// removeOrphanedRecords has the records removed of finished jobs without rows: a former owner was lost before it had deleted them. A job
+// that is submitted under such an ID waits for that. submitted holds the jobs with rows.
+func (l *leadership) removeOrphanedRecords(submitted map[string]bool) {
+	var orphans []scheduler.ExpiredJob
+	for id, stored := range l.jobRecords {
+		if !submitted[id] && stored.record != nil && stored.record.Status.Final() {
+			orphans = append(orphans, scheduler.ExpiredJob{Job: id, Version: stored.version, RecordOnly: true})
+		}
+	}
+	if len(orphans) > 0 {
+		l.log.WithField("records", len(orphans)).Info("records without jobs are to be removed")
+		l.deletions.begin(orphans)
+		l.core.KeepExpired(orphans)
+	}
+}
+
 // deleteJobRows deletes the rows of each job before its record, because a job without a record would run again. It returns the versions
-// at which the rows were deleted.
-func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob, keys []rowstore.Key) (map[rowstore.Key]uint64, error) {
+// at which the rows were deleted, 0 for those that were absent when this owner began.
+func (l *leadership) deleteJobRows(expired []scheduler.ExpiredJob) (map[rowstore.Key]uint64, error) {
 	byPartition := make(map[string][]rowstore.Key)
-	for _, key := range keys {
-		byPartition[key.Partition] = append(byPartition[key.Partition], key)
+	versions := make(map[rowstore.Key]uint64)
+	for _, x := range expired {
+		for _, key := range jobRows(x.Job) {
+			if x.RecordOnly {
+				versions[key] = 0
+				continue
+			}
+			byPartition[key.Partition] = append(byPartition[key.Partition], key)
+		}
 	}
-	versions := make(map[rowstore.Key]uint64, len(keys))
 	for _, keys := range byPartition {
 		version, err := l.deleteRows(rowstore.Txn{Delete: keys})
 		if err != nil {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -406,7 +406,7 @@
 		case j.status.Final():
 			if !j.expiryQueued && !j.dirty && j.placedTasks == 0 && now-j.finalAt > c.opts.Retention {
 				j.expiryQueued = true
-				c.expired = append(c.expired, ExpiredJob{j.spec.ID, j.version})
+				c.expired = append(c.expired, ExpiredJob{Job: j.spec.ID, Version: j.version})
 			}
 			if !j.inherited || len(c.unreconciled) == 0 {
 				c.releaseEnded(j)
@@ -424,10 +424,12 @@
 	c.markActiveServicesDirty()
 }
 
-// ExpiredJob is a final job whose retention is over, so that its rows can be removed. Version is that of its stored record.
+// ExpiredJob is a final job whose retention is over, so that its rows can be removed. Version is that of its stored record, which may be
+// all that is left of it.
 type ExpiredJob struct {
-	Job     string
-	Version uint64
+	Job        string
+	Version    uint64
+	RecordOnly bool
 }
 
 // TakeExpired returns at most limit jobs whose rows can be removed. They stay known until Forget, so that a job that is read
