Test removals of finished jobs under random faults

Jobs are submitted, finish and are removed after 3 s, some are submitted again under their IDs, while the store drops its history, is slow, refuses calls, loses responses and carries calls out late, and owners are killed.

--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -214,3 +216,81 @@
 	}
 	c.t.Fatalf("%s/%s is never removed", key.Table, key.Name)
 }
+
+// Guards against finished jobs that run again, stay in the store, or hide a later job with the same ID, while the store loses its history, is
+// slow, refuses calls, loses responses and carries calls out late, and owners change.
+func TestRemovalsUnderRandomFaults(t *testing.T) {
+	for seed := uint64(1); seed <= faultSeeds(t); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { inBubble(t, func(t *testing.T) { runWithRemovals(t, seed) }) })
+	}
+}
+
+func runWithRemovals(t *testing.T, seed uint64) {
+	t.Helper()
+	c := newRetentionCluster(t, 3*time.Second)
+	f := &randomFaults{rng: rand.New(rand.NewPCG(seed, 13)), faultsEndAt: c.startedAt.Add(45 * time.Second), healthyCalls: 40}
+	setFaults := func(h *host, i int) { h.handle.SetFault(func(bool) rows.Fault { return f.storeFault(i) }) }
+	for i, h := range c.hosts {
+		setFaults(h, i)
+	}
+	// submitted holds how often each job was submitted. Those in again are submitted again when they have been without rows for longer than a
+	// deletion may be under way; removedAt holds since when.
+	submitted, again, removedAt := make(map[string]int), make(map[string]bool), make(map[string]time.Time)
+	for n := 0; time.Now().Before(f.faultsEndAt); n++ {
+		id := fmt.Sprintf("job%d", n)
+		submitted[id], again[id] = 1, n%4 == 0
+		c.submit(id, plainStep(1))
+		time.Sleep(time.Duration(f.intN(500)) * time.Millisecond)
+		for id := range again {
+			switch at := removedAt[id]; {
+			case !again[id] || c.anyRowOf(id):
+				delete(removedAt, id)
+			case at.IsZero():
+				removedAt[id] = time.Now()
+			case time.Since(at) > 2*(commitTimeout+rows.LateBy):
+				submitted[id]++
+				c.submit(id, plainStep(1))
+			}
+		}
+		switch f.intN(12) {
+		case 0, 1, 2:
+			c.store.DropHistory()
+		case 3, 4:
+			c.store.SetSlow(time.Duration(f.intN(300)) * time.Millisecond)
+		case 5:
+			c.store.SetSlow(0)
+		case 6:
+			if owner := c.ownerHost(); owner != nil && n > 10 && len(c.hosts) < 6 {
+				c.kill(owner)
+				c.hosts = append(c.hosts, c.startHost(fmt.Sprintf("h%d", len(c.hosts))))
+				setFaults(c.hosts[len(c.hosts)-1], len(c.hosts)%3)
+			}
+		}
+	}
+	c.store.SetSlow(0)
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
+		c.store.DropHistory()
+	}
+	starts := make(map[string]int)
+	for _, line := range c.fleet.History() {
+		if task, _, ok := strings.Cut(line, " starts on "); ok {
+			id, _, _ := strings.Cut(strings.Fields(task)[2], ".")
+			starts[id]++
+		}
+	}
+	for id, n := range submitted {
+		assert.Check(t, starts[id] == n, "%s was submitted %d times and started %d times", id, n, starts[id])
+		assert.Check(t, !c.anyRowOf(id), "%s has rows", id)
+	}
+}
+
+// anyRowOf reports whether the store has the row of a job or its record.
+func (c *cluster) anyRowOf(id string) bool {
+	rows := jobRowKeys(id)
+	for _, key := range append(rows[:], rowstore.Key{Table: frontend.RecordTable, Name: id}) {
+		if _, stored := c.store.Get(key); stored {
+			return true
+		}
+	}
+	return false
+}
