Leave the failure domain of a job open when its first starts are refused

What callers would see: the tasks of a job prefer a data centre and a rack where none of them has begun, because the executor there refused its first start.

Evidence: TestARefusedStartLeavesTheFailureDomainOpen failed before. Its weight for callers was not measured.

Change: if a start is refused, no run of the job is known and nothing of it is placed, the domain is open again.

--- a/scheduler/domain.go
+++ b/scheduler/domain.go
@@ -25,7 +25,7 @@
 	return 0
 }
 
-// join records where a task is placed, if it is the first finite one of the job.
+// join records where a task is placed, if it is the first finite one of the job. The domain is open again if all first starts are refused.
 func (d *failureDomain) join(t *task, e *executor) {
 	if !t.step.spec.LongRunning && d.dataCentre == "" && d.rack == "" {
 		d.dataCentre, d.rack = e.info.DataCentre, e.info.Rack
--- a/scheduler/domain_test.go
+++ b/scheduler/domain_test.go
@@ -59,3 +59,31 @@
 	}
 	assert.Equal(t, len(used), 1)
 }
+
+// Guards against a job whose tasks keep to a data centre in which none has begun: the executor there refused the first start.
+func TestARefusedStartLeavesTheFailureDomainOpen(t *testing.T) {
+	h := newHarness(t, 0)
+	for _, id := range []string{"x0", "x1"} {
+		h.running[id] = make(map[workload.TaskID]workload.RunningTask)
+		h.core.PutExecutor(h.now, workload.Executor{ID: id, Service: service, Capacity: size, Kind: "a", DataCentre: "dc" + id, Rack: "r"})
+		h.report(id)
+	}
+	h.addJob("job", batchStep(2, 1000), workload.Step{Count: 2, Size: workload.Resources{CPUMilli: 1000}, Estimate: 500, After: []int{0}})
+	h.core.Schedule(h.now, h.now)
+	orders := h.core.Commands()
+	assert.Equal(t, len(orders), 2)
+	j := h.core.jobs["job"]
+	first := j.domain
+	for i, o := range orders {
+		assert.Equal(t, j.domain, first, "a task is still placed there")
+		start := o.(StartTask)
+		h.core.Started(h.now, start.Executor, start.Task, start.Run, StartRefused, "")
+		if i == 0 {
+			assert.Assert(t, j.domain != failureDomain{})
+		}
+	}
+	assert.Equal(t, j.domain, failureDomain{})
+	h.runCommands()
+	assert.Equal(t, len(h.starts), 2)
+	assert.Assert(t, j.domain != first, "the tasks start on the other executor")
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -147,6 +147,9 @@
 		"executor": id, "run": run, "reason": reason, "free_cpu_milli": e.free().CPUMilli, "free_memory_mb": e.free().MemoryMB,
 	})
 	c.requeue(now, t, lossStartRefused)
+	if !t.job.started && t.job.placedTasks == 0 {
+		t.job.domain = failureDomain{}
+	}
 	t.notBefore = max(t.notBefore, notBefore)
 }
 
