Keep a machine cordoned after an unanswered move until a list tells

What callers would see: tasks are started on a machine that is being moved, and are lost with it or wait until contact is lost.

Cause: the first attempt of a move was carried out and its response was lost; the next one is rejected, because the machine moves already. Only the last attempt counted, so the executor was uncordoned at once, and the list at hand, older than the order, still showed it.

Change: the outcome of an order says whether an attempt had no response. Then the executor stays cordoned, and a list that was requested after the last attempt either shows it on its machine, which uncordons it, or that it has ended, as after a confirmed order.

Tests: TestMachinesWithAnUnansweredOrderStayCordonedUntilAListTells and TestOrdersTellWhetherAnAttemptHadNoResponse failed before (with the new field, always false).

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -65,8 +65,10 @@
 	confirmedAt map[string]time.Duration
 	arrivals    *pools.Arrivals
 	turns       turnState
-	// unverified holds the executors of machines whose order was confirmed, until a list shows whether the executor is gone.
-	unverified map[string]string
+	// unverified holds the executors of machines whose order was confirmed or had no response, until a list shows whether the executor is
+	// gone. unansweredAt holds when the attempts of an order without a response ended; earlier lists do not show its effect.
+	unverified   map[string]string
+	unansweredAt map[string]time.Duration
 	// endedIncarnations holds, by executor ID, the incarnations of executors that were ended by an order for their machine,
 	// or that did not respond and had ended by the lists.
 	endedIncarnations map[string]int64
@@ -82,7 +84,7 @@
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
 		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), turns: newTurnState(), endedIncarnations: make(map[string]int64),
-		unverified: make(map[string]string),
+		unverified: make(map[string]string), unansweredAt: make(map[string]time.Duration),
 	}
 }
 
@@ -121,7 +123,9 @@
 	isList bool
 	sentAt time.Duration
 	action pools.Action
-	err    error
+	// unanswered is set if an attempt of the order had no response, so that it may have been carried out whatever the last one says.
+	unanswered bool
+	err        error
 }
 
 // planMachines requests the list of machines when it is due, and executes the decisions of the planners.
@@ -304,7 +308,11 @@
 	m.lastOrderAt[e.action.Machine] = now
 	id := l.executorOf(e.action.Machine)
 	if e.err != nil {
-		if e.action.Kind == pools.ActionMove {
+		switch {
+		case e.action.Kind != pools.ActionMove:
+		case e.unanswered && id != "":
+			m.unverified[e.action.Machine], m.unansweredAt[e.action.Machine] = id, now
+		default:
 			l.core.Cordon(now, id, false)
 		}
 		l.logMachineAction(e.action, e.err)
@@ -312,6 +320,7 @@
 		return
 	}
 	m.confirmedAt[e.action.Machine] = now
+	delete(m.unansweredAt, e.action.Machine)
 	m.unverified[e.action.Machine] = id
 	if i, ok := m.index[e.action.Machine]; ok {
 		m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
