Take undelivered rows from before a deletion for those of the finished job

What callers would see: a job that was stored in both partitions, whose second row the owner's feed has not delivered for longer than the retention, runs again after it was removed.

Cause: a row that conflicts with a deletion counted as submitted again if it was later than what the feed of the jobs had delivered. That feed may be behind while commits succeed.

Change: the bound is the newest version that the owner knows from any batch or commit when the first attempt begins. Until then the job had a row, and no host accepts its ID again beside one.

--- a/coordinator/commit.go
+++ b/coordinator/commit.go
@@ -233,6 +233,7 @@
 		return e.err
 	}
 	l.opts.Metrics.observeCommit(len(e.txn.Put), e.duration)
+	l.deletions.observe(e.version)
 	l.core.Committed(e.commit, e.version)
 	for _, key := range e.txn.Delete {
 		delete(l.rows.versions, key)
--- a/coordinator/deletions.go
+++ b/coordinator/deletions.go
@@ -20,13 +20,14 @@
 	pending map[rowstore.Key]pendingDeletion
 	// versions holds the versions of deletions that the feed of the table has not passed.
 	versions map[rowstore.Key]uint64
-	// jobsVersion is the version that the feed of the jobs has passed.
-	jobsVersion uint64
+	// newest is the newest version of the store that this owner knows.
+	newest uint64
 }
 
 // pendingDeletion is the deletion of a row that is not known to have succeeded.
 type pendingDeletion struct {
-	// since is the version that the feed of the jobs had passed when the first attempt began. Later rows belong to another job.
+	// since is the newest version that was known when the first attempt began. Until then the job had a row, so that a row from before is its
+	// own, and a later one belongs to a job that was submitted again.
 	since uint64
 	// delivered is the newest row that was delivered for the key since then, nil if there is none.
 	delivered *rowstore.Row
@@ -43,7 +44,7 @@
 		for i, key := range jobRowKeys(x.Job) {
 			for _, k := range []rowstore.Key{key, cancelKey(key)} {
 				if _, ok := d.pending[k]; !ok {
-					d.pending[k] = pendingDeletion{since: d.jobsVersion}
+					d.pending[k] = pendingDeletion{since: d.newest}
 				}
 			}
 			if byPartition[key.Partition] == nil {
@@ -76,28 +77,29 @@
 	if len(d.pending)+len(d.versions) > 0 {
 		rows = nil
 		for _, r := range b.Rows {
-			p, pending := d.pending[r.Key]
-			switch {
-			case r.Deleted:
-			case pending:
-				if p.delivered == nil || p.delivered.Version < r.Version {
-					p.delivered = &r
-					d.pending[r.Key] = p
-				}
-				continue
-			case r.Version < d.versions[r.Key]:
-				continue
+			if r.Deleted || !d.hold(r) && r.Version >= d.versions[r.Key] {
+				rows = append(rows, r)
 			}
-			rows = append(rows, r)
 		}
 	}
-	if b.Table == frontend.JobTable {
-		d.jobsVersion = b.Version
-	}
+	d.observe(b.Version)
 	maps.DeleteFunc(d.versions, func(key rowstore.Key, version uint64) bool { return key.Table == b.Table && version <= b.Version })
 	return rows
 }
 
+// hold keeps a row back if a deletion for its key is pending, and reports whether it has.
+func (d *deletions) hold(r rowstore.Row) bool {
+	p, pending := d.pending[r.Key]
+	if pending && (p.delivered == nil || p.delivered.Version < r.Version) {
+		p.delivered = &r
+		d.pending[r.Key] = p
+	}
+	return pending
+}
+
+// observe records that the store has reached a version.
+func (d *deletions) observe(version uint64) { d.newest = max(d.newest, version) }
+
 // full reports whether further deletions have to wait.
 func (d *deletions) full() bool { return len(d.versions) >= maxDeletions }
 
--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -12,6 +12,7 @@
 	"github.com/tamarackworks/tamarackworks/feed"
 	"github.com/tamarackworks/tamarackworks/frontend"
 	"github.com/tamarackworks/tamarackworks/rowstore"
+	"github.com/tamarackworks/tamarackworks/scheduler"
 	"github.com/tamarackworks/tamarackworks/session"
 	"github.com/tamarackworks/tamarackworks/standin/rows"
 	"github.com/tamarackworks/tamarackworks/standin/workers"
@@ -194,6 +195,33 @@
 	})
 }
 
+// Guards against a second row of a finished job that is taken for a job that was submitted again, because the owner has not read it when
+// the first deletion conflicts with it.
+func TestRowsFromBeforeTheDeletionBelongToTheFinishedJob(t *testing.T) {
+	d := newDeletions()
+	d.filter(feed.Batch{Table: frontend.JobTable, Version: 10})
+	d.observe(20)
+	first := d.begin([]scheduler.ExpiredJob{{Job: "job", Version: 9, Rows: [2]uint64{5, 0}}})
+	d.filter(feed.Batch{Table: frontend.JobTable, Version: 30})
+	again := d.begin([]scheduler.ExpiredJob{{Job: "job", Version: 9, Rows: [2]uint64{5, 0}}})
+	for _, byPartition := range []map[string]jobRowDeletions{first, again} {
+		for _, key := range jobRowKeys("job") {
+			rows := byPartition[key.Partition]
+			expected := rows[key].version
+			resubmitted, ok := rows.resolve([]rowstore.Row{{Key: key, Version: 15}})
+			assert.Assert(t, ok && len(resubmitted) == 0)
+			assert.Equal(t, rows[key].version, uint64(15))
+			resubmitted, ok = rows.resolve(nil)
+			assert.Assert(t, ok && len(resubmitted) == 0)
+			assert.Equal(t, rows[key].version, uint64(0))
+			_, ok = rows.resolve(nil)
+			assert.Assert(t, !ok, "the rows are as expected")
+			resubmitted, ok = rows.resolve([]rowstore.Row{{Key: key, Version: 21}})
+			assert.Assert(t, ok && len(resubmitted) == 1 && len(rows) == 0, "expected first: %d", expected)
+		}
+	}
+}
+
 // newRetentionCluster starts two hosts that keep finished jobs for a time, and four executors.
 func newRetentionCluster(t *testing.T, retention time.Duration) *cluster {
 	c := prepareCluster(t, func(f *workers.Fleet) session.Client { return f })
