Leave room for what the runtime does not count on small hosts

DEPLOY ends a process that exceeds its memory.

Cause: the soft limit of the runtime is 0.7 of the memory, 44.8 MiB here. The runtime does not count the pages of the program, nor what the kernel holds for connections. Measured alone on the machine: with limits of 44.8 and 39.7 MiB the peak is 56.1 to 57.4 and 51.7 to 52.4 MiB, 12 MiB above it both times, and the kernel holds another 4 to 6. What is left of 64 MiB is 2, less than what a collection that comes late takes.

Ruled out: the crowds' bodies and jobs as such (the peak follows the limit; below some 36 MiB it stays at 50).

Change: the limit leaves at least 24 MB, and at most half of the memory. That binds below 80 MB; hosts of 284 MB, as on the sites, keep 0.7.

--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,11 @@
 	// memoryLimitShare is the share of the host's memory that becomes the soft memory limit of the Go runtime, near which the
 	// garbage collector runs more often.
 	memoryLimitShare = 0.7
+	// uncountedMemoryMB is the memory that the runtime does not count towards its limit: the pages of the program and the buffers of its
+	// connections in the kernel. It binds on small hosts.
+	uncountedMemoryMB = 24
+	// minMemoryLimitShare is the least share of the memory that becomes the limit.
+	minMemoryLimitShare = 0.5
 	// gcPercent is the garbage collection target, above Go's default of 100 to save CPU time: the process uses about a
 	// tenth of the host's memory.
 	gcPercent = 300
@@ -76,10 +81,17 @@
 // Register adds the services of the host to k. A reload reads the settings from path.
 func Register(k *kernel.Kernel, path string, s *settings.Node, t *telemetry.Telemetry) error {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(memoryLimit(s.MemoryMB))
 	return register(k, path, newNode(s, t, platform.NewStore(s.StoreAddress)), t)
 }
 
+// memoryLimit returns the soft memory limit of the runtime in bytes on a host with some memory.
+func memoryLimit(memoryMB int) int64 {
+	memory := float64(memoryMB)
+	limit := min(memoryLimitShare*memory, max(memory-uncountedMemoryMB, minMemoryLimitShare*memory))
+	return int64(limit * (1 << 20))
+}
+
 // register adds the services of n to k. Those that follow the configuration and the owner stop last, because a host that stops still
 // answers callers.
 func register(k *kernel.Kernel, path string, n *Node, t *telemetry.Telemetry) error {
