--- a/coordinator/deletions.go
+++ b/coordinator/deletions.go
@@ -111,8 +111,8 @@
 
 // jobRowKeys returns the keys of the rows by which a job may have been submitted. It may have rows in both partitions. One that is left would
 // be a new job to the next owner.
-func jobRowKeys(job string) [2]rowstore.Key {
-	return [2]rowstore.Key{
+func jobRowKeys(job string) []rowstore.Key {
+	return []rowstore.Key{
 		{Table: frontend.JobTable, Partition: frontend.SubmitPartition(job), Name: job},
 		{Table: frontend.JobTable, Partition: frontend.FallbackSubmitPartition(job), Name: job},
 	}
--- a/coordinator/deletions_test.go
+++ b/coordinator/deletions_test.go
@@ -314,8 +314,7 @@
 
 // anyRowOf reports whether the store has the row of a job or its record.
 func (c *cluster) anyRowOf(id string) bool {
-	rows := jobRowKeys(id)
-	for _, key := range append(rows[:], rowstore.Key{Table: frontend.RecordTable, Name: id}) {
+	for _, key := range append(jobRowKeys(id), rowstore.Key{Table: frontend.RecordTable, Name: id}) {
 		if _, stored := c.store.Get(key); stored {
 			return true
 		}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -97,8 +97,8 @@
 }
 
 // verifyOrder checks on a listed machine whether its order ended the executor, if the order was confirmed or had no response. The service
-// also confirms an order that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that shows neither is
-// left to a later list: an executor that starts again under its ID is not named meanwhile.
+// also confirms an order that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that
+// shows neither is left to a later list: an executor that starts again under its ID is not named meanwhile.
 func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
 	m := &l.machines
 	id, ok := m.unverified[machine.ID]
--- a/coordinator/tables.go
+++ b/coordinator/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -86,11 +87,7 @@
 		l.leftOut[r.Name] = true
 		return
 	}
-	row := 0
-	if r.Partition != frontend.SubmitPartition(r.Name) {
-		row = 1
-	}
-	l.core.SetRowVersion(r.Name, row, r.Version)
+	l.core.SetRowVersion(r.Name, slices.Index(jobRowKeys(r.Name), r.Key), r.Version)
 	if origin != originNew && !known && !(found && stored.record.Status.Final()) {
 		l.loadedJobs[origin]++
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -46,7 +46,7 @@
 	Table string
 	Rows  []rowstore.Row
 	Full  bool
-	// Version is the version up to which all changes are included. Those of later batches are higher.
+	// Version is the version up to which all changes are included. That of a later batch is not lower.
 	Version uint64
 }
 
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -432,10 +432,10 @@
 	Rows    [2]uint64
 }
 
-// SetRowVersion records the version of a row by which a job was submitted: row 0 is in its primary, row 1 in its fallback partition. The
-// first one counts; 0 means that there is none.
+// SetRowVersion records the version of a row by which a job was submitted: row 0 is in its primary, row 1 in its fallback partition, and
+// others do not count. The first version counts; 0 means that there is none.
 func (c *Core) SetRowVersion(id string, row int, version uint64) {
-	if j := c.jobs[id]; j != nil && j.rows[row] == 0 {
+	if j := c.jobs[id]; j != nil && row >= 0 && row < len(j.rows) && j.rows[row] == 0 {
 		j.rows[row] = version
 	}
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -231,11 +231,11 @@
 	beyondShare bool
 	// version is that of the stored record. dirty is set if the record has changed since TakeCommit last returned
 	// it, and writeQueued while the job is in Core.dirty.
-	version uint64
-	dirty   bool
-	// rows are the versions of the rows by which it was submitted; see SetRowVersion.
-	rows        [2]uint64
+	version     uint64
+	dirty       bool
 	writeQueued bool
+	// rows are the versions of the rows by which it was submitted; see SetRowVersion.
+	rows [2]uint64
 	// domain is where its finite tasks are placed.
 	domain failureDomain
 	// placedTasks is the number of its tasks on executors.
