Revert "Keep a machine cordoned after an unanswered move until a list tells"

Conclusion: an overloaded owner gets few responses to orders and late lists, so executors stay out of use that never moved.

--- a/coordinator/machines.go
+++ b/coordinator/machines.go
@@ -65,10 +65,8 @@
 	confirmedAt map[string]time.Duration
 	arrivals    *pools.Arrivals
 	turns       turnState
-	// unverified holds the executors of machines whose order was confirmed or had no response, until a list shows whether the executor is
-	// gone. unansweredAt holds when the attempts of an order without a response ended; earlier lists do not show its effect.
-	unverified   map[string]string
-	unansweredAt map[string]time.Duration
+	// unverified holds the executors of machines whose order was confirmed, until a list shows whether the executor is gone.
+	unverified map[string]string
 	// endedIncarnations holds, by executor ID, the incarnations of executors that were ended by an order for their machine,
 	// or that did not respond and had ended by the lists.
 	endedIncarnations map[string]int64
@@ -84,7 +82,7 @@
 		pendingOrders: make(map[string]pools.Action), blockedUntil: make(map[string]time.Duration),
 		lastOrderAt: make(map[string]time.Duration), inFlight: make(map[string]bool),
 		confirmedAt: make(map[string]time.Duration), seen: make(map[string]sighting), arrivals: pools.NewArrivals(), turns: newTurnState(), endedIncarnations: make(map[string]int64),
-		unverified: make(map[string]string), unansweredAt: make(map[string]time.Duration),
+		unverified: make(map[string]string),
 	}
 }
 
@@ -123,9 +121,7 @@
 	isList bool
 	sentAt time.Duration
 	action pools.Action
-	// unanswered is set if an attempt of the order had no response, so that it may have been carried out whatever the last one says.
-	unanswered bool
-	err        error
+	err    error
 }
 
 // planMachines requests the list of machines when it is due, and executes the decisions of the planners.
@@ -308,11 +304,7 @@
 	m.lastOrderAt[e.action.Machine] = now
 	id := l.executorOf(e.action.Machine)
 	if e.err != nil {
-		switch {
-		case e.action.Kind != pools.ActionMove:
-		case e.unanswered && id != "":
-			m.unverified[e.action.Machine], m.unansweredAt[e.action.Machine] = id, now
-		default:
+		if e.action.Kind == pools.ActionMove {
 			l.core.Cordon(now, id, false)
 		}
 		l.logMachineAction(e.action, e.err)
@@ -320,7 +312,6 @@
 		return
 	}
 	m.confirmedAt[e.action.Machine] = now
-	delete(m.unansweredAt, e.action.Machine)
 	m.unverified[e.action.Machine] = id
 	if i, ok := m.index[e.action.Machine]; ok {
 		m.list[i].State, m.list[i].Executor = workload.MachineMoving, ""
--- a/coordinator/machines_test.go
+++ b/coordinator/machines_test.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -80,67 +79,3 @@
 	assert.Equal(t, testutil.ToFloat64(l.opts.Metrics.returns.WithLabelValues("reversed")), 1.0)
 	assert.Equal(t, testutil.ToFloat64(l.opts.Metrics.calledAhead), 1.0)
 }
-
-// Guards against tasks on a machine that is being moved: the order was carried out, its response was lost, and the service rejects the next
-// attempt because the machine moves already. Only a list that was requested later tells whether it stayed.
-func TestMachinesWithAnUnansweredOrderStayCordonedUntilAListTells(t *testing.T) {
-	for _, moved := range []bool{false, true} {
-		now := 10 * time.Second
-		l := newTestLeadership(t.Context(), func() time.Duration { return now })
-		l.core.PutExecutor(now, workload.Executor{ID: "x", Service: "a"})
-		l.executorRecords["x"] = executorRecord{Address: "a", Service: "a"}
-		l.core.Report(now, "x", workload.Report{BornUnixMS: 2}, now, 0)
-		machine := workload.Machine{ID: "m", Pool: "a", State: workload.MachineUp, Executor: "x"}
-		list := func(sentAt time.Duration, m workload.Machine) {
-			l.handleMachineEvent(now, machineEvent{isList: true, list: []workload.Machine{m}, pages: 1, sentAt: sentAt})
-		}
-		cordoned := func() bool { return len(l.core.Usages(now)) == 1 && l.core.Usages(now)[0].Cordoned }
-		list(now, machine)
-		now += time.Second
-		a := pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "b"}
-		l.executeMachineAction(now, a)
-		now += time.Second
-		l.handleMachineEvent(now, machineEvent{action: a, unanswered: true, err: pools.ErrRejected})
-		list(now-100*time.Millisecond, machine)
-		assert.Assert(t, cordoned(), "the list is older than the outcome")
-		now += time.Second
-		if moved {
-			machine.Pool, machine.State, machine.Executor = "b", workload.MachineMoving, ""
-		}
-		list(now, machine)
-		_, known := l.executorRecords["x"]
-		assert.Equal(t, known, !moved)
-		assert.Assert(t, !cordoned())
-	}
-}
-
-// Guards against an order that counts as not carried out because its last attempt was rejected, although an earlier one had no response.
-func TestOrdersTellWhetherAnAttemptHadNoResponse(t *testing.T) {
-	l := newTestLeadership(t.Context(), func() time.Duration { return 0 })
-	for _, c := range []struct {
-		responses  []error
-		unanswered bool
-	}{
-		{[]error{pools.ErrRejected}, false},
-		{[]error{pools.ErrNotDone, pools.ErrRejected}, false},
-		{[]error{pools.ErrNoResponse, pools.ErrRejected}, true},
-	} {
-		l.opts.Machines = &scriptedOrders{responses: c.responses}
-		go l.sendOrder(pools.Action{Kind: pools.ActionMove, Machine: "m", Pool: "b"})
-		e := (<-l.events).(machineEvent)
-		assert.ErrorIs(t, e.err, pools.ErrRejected)
-		assert.Equal(t, e.unanswered, c.unanswered)
-	}
-}
-
-// scriptedOrders is a machine service that responds to moves in turn.
-type scriptedOrders struct {
-	Machines
-	responses []error
-}
-
-func (s *scriptedOrders) Move(context.Context, pools.Order) error {
-	err := s.responses[0]
-	s.responses = s.responses[1:]
-	return err
-}
--- a/coordinator/orders.go
+++ b/coordinator/orders.go
@@ -76,7 +76,6 @@
 		order.Wave, call = a.Wave.Number, l.opts.Machines.Maintain
 	}
 	var err error
-	unanswered := false
 	for n := 0; n < maxOrderAttempts; n++ {
 		if !l.opts.OwnsJobs() {
 			err = errors.Wrap(pools.ErrNoResponse, "ownership is not confirmed")
@@ -85,7 +84,6 @@
 		ctx, cancel := context.WithTimeout(l.ctx, machineTimeout)
 		err = call(ctx, order)
 		cancel()
-		unanswered = unanswered || errors.Is(err, pools.ErrNoResponse)
 		if err == nil || errors.Is(err, pools.ErrRejected) {
 			break
 		}
@@ -93,23 +91,18 @@
 			return
 		}
 	}
-	l.emit(machineEvent{action: a, unanswered: unanswered, err: err})
+	l.emit(machineEvent{action: a, err: err})
 }
 
-// verifyOrder checks on a listed machine whether its order ended the executor, if the order was confirmed or had no response. The service
-// also confirms an order that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that
-// shows neither is left to a later list: an executor that starts again under its ID is not named meanwhile.
+// verifyOrder checks on a listed machine whether its confirmed order ended the executor. The service also confirms an order
+// that it carried out earlier, for a former owner; then the executor keeps running and is uncordoned. An entry that shows neither is
+// left to a later list: an executor that starts again under its ID is not named meanwhile.
 func (l *leadership) verifyOrder(now, sentAt time.Duration, machine workload.Machine) {
 	m := &l.machines
 	id, ok := m.unverified[machine.ID]
-	unansweredAt, unanswered := m.unansweredAt[machine.ID]
-	if !ok || sentAt < unansweredAt {
+	if !ok {
 		return
 	}
-	reason := "order confirmed"
-	if unanswered {
-		reason = "order carried out without a response"
-	}
 	x := m.seen[id]
 	x.executor, x.machine = id, machine.ID
 	up, named := machine.State == workload.MachineUp, machine.Executor == id
@@ -118,13 +111,12 @@
 		l.core.Cordon(now, id, false)
 	case machine.State != workload.MachineDown && (named || machineEntry{machine.State, machine.Pool, machine.Executor}.excludes(x)):
 		l.endExecutor(now, id, endEvidence{
-			reason: reason, machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt,
+			reason: "order confirmed", machine: machine.ID, listed: true, state: machine.State, listedAt: sentAt,
 		})
 	default:
 		return
 	}
 	delete(m.unverified, machine.ID)
-	delete(m.unansweredAt, machine.ID)
 }
 
 // listMargin is how long after an executor's registration or last contact a list must have been requested to be certain to
